node: one path from caller to target through separate processes

Cause: everything else is measured on this path, so it comes first. Not yet: contracts are whole on every node, gates use a fixed limit, and hosts are exchanged in full.

--- /dev/null
+++ b/internal/mesh/gate/fixed.go
@@ -0,0 +1,19 @@
+package gate
+
+import "time"
+
+// Fixed is a limiter that never moves. It is the baseline that adaptive
+// limiters are measured against.
+type Fixed struct{ limit int }
+
+// NewFixed returns a limiter of the given limit.
+func NewFixed(limit int) (f *Fixed) { return &Fixed{limit: max(1, limit)} }
+
+// Limit implements mesh.Limiter.
+func (f *Fixed) Limit() (limit int) { return f.limit }
+
+// Observe implements mesh.Limiter.
+func (f *Fixed) Observe(time.Time, time.Duration, int, bool) {}
+
+// Restart implements mesh.Limiter.
+func (f *Fixed) Restart(time.Time) {}
--- /dev/null
+++ b/internal/mesh/node/front.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/tree"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// front takes requests from callers, targets and other nodes and leads them
+// through the duties. It keeps no state of its own but whether it is leaving.
+type front struct {
+	settings Settings
+	config   *configDuty
+	roster   *rosterDuty
+	contract *contractDuty
+	gate     *gateDuty
+	calls    *callsDuty
+	claims   mesh.Claimer
+	route    *routeDuty
+	meter    *meterDuty
+	carrier  mesh.Carrier
+	targets  *targetClient
+
+	// leaving is set once and never cleared.
+	leaving atomic.Bool
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// passedHeader returns the headers of a request or answer that go on to the
+// next hop. Keys and the project's own headers never do.
+func passedHeader(h http.Header) (passed http.Header) {
+	passed = make(http.Header, len(h))
+	named := connectionTokens(h)
+	for name, values := range h {
+		switch {
+		case slices.Contains(hopHeaders, name), slices.Contains(named, name),
+			name == "Authorization", strings.HasPrefix(name, header.Prefix):
+		default:
+			passed[name] = values
+		}
+	}
+	return passed
+}
+
+// connectionTokens returns the headers that Connection names as its own.
+func connectionTokens(h http.Header) (names []string) {
+	for _, line := range h["Connection"] {
+		for token := range strings.SplitSeq(line, ",") {
+			names = append(names, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(token)))
+		}
+	}
+	return names
+}
+
+// splitPath returns the service that a request path names and the rest.
+func splitPath(path string) (service mesh.ServiceName, rest string) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return mesh.ServiceName(name), "/" + rest
+}
+
+// findRoute returns the route of a request.
+func findRoute(index *tree.Index, r *http.Request) (m tree.Match, refusal *mesh.Refusal) {
+	service, path := splitPath(r.URL.Path)
+	if !index.HasService(service) {
+		return m, mesh.NotRun(header.ServiceUnknown, "service %q does not exist; write the path as /SERVICE/PATH", service)
+	}
+	m, found := index.Route(service, r.Method, path)
+	if !found {
+		return m, mesh.NotRun(header.RouteUnknown, "service %q has no route for %s %s", service, r.Method, path)
+	}
+	return m, nil
+}
+
+// readPayload takes in the whole request, so that it can be sent again.
+func readPayload(w http.ResponseWriter, r *http.Request, limit int64) (p *mesh.Payload, refusal *mesh.Refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, mesh.NotRun(header.BodyTooLarge, "the body is larger than %d bytes", limit)
+	case err != nil:
+		return nil, mesh.NotRun(header.BodyBroken, "the body could not be read: %v", err)
+	}
+	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.RequestURI(), "/"), "/")
+	return &mesh.Payload{Method: r.Method, Path: "/" + path, Header: passedHeader(r.Header), Body: body}, nil
+}
+
+// readTimeout returns the deadline of a request: what it asks for, but at most
+// that of its route.
+func readTimeout(r *http.Request, route *mesh.Route, now time.Time) (deadline time.Time, refusal *mesh.Refusal) {
+	text := r.Header.Get(header.Timeout)
+	if text == "" {
+		return now.Add(route.Timeout), nil
+	}
+	asked, err := time.ParseDuration(text)
+	if err != nil {
+		return deadline, mesh.NotRun(header.TimeoutMalformed, "%s is %q; write a duration such as 750ms", header.Timeout, text)
+	}
+	if asked <= 0 {
+		return deadline, mesh.NotRun(header.DeadlineExceeded, "%s is %q: the deadline has passed", header.Timeout, text)
+	}
+	return now.Add(min(asked, route.Timeout)), nil
+}
+
+// refusalBody is the JSON body of a refusal.
+type refusalBody struct {
+	Outcome   header.OutcomeValue `json:"outcome"`
+	Code      header.RefusalCode  `json:"code"`
+	Message   string              `json:"message"`
+	RequestID string              `json:"request-id,omitempty"`
+}
+
+func writeRefusal(c echo.Context, id string, r *mesh.Refusal) (err error) {
+	h := c.Response().Header()
+	h.Set(header.Outcome, string(r.Outcome))
+	h.Set(header.Code, string(r.Code))
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", retryAfter(r.RetryAfter))
+	}
+	return c.JSON(statusOf(r.Code), refusalBody{Outcome: r.Outcome, Code: r.Code, Message: r.Message, RequestID: id})
+}
+
+// writeAnswer passes a target's answer on. It closes the connection when the
+// answer breaks off, so that a part cannot pass for the whole.
+func writeAnswer(c echo.Context, a *mesh.Answer) (err error) {
+	defer a.Body.Close()
+	h := c.Response().Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	h.Set(header.Outcome, string(header.Ran))
+	c.Response().WriteHeader(a.Status)
+	if _, err := io.Copy(c.Response(), a.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// contextFor ends with the caller's connection or with the deadline.
+func contextFor(r *http.Request, deadline time.Time) (ctx context.Context, cancel context.CancelFunc) {
+	return context.WithDeadline(r.Context(), deadline)
+}
--- /dev/null
+++ b/internal/mesh/node/node.go
@@ -0,0 +1,225 @@
+// Package node is the process that runs in the slot of every target host. It
+// starts the duties, joins them by rings and serves HTTP.
+package node
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/roster"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/store"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
+)
+
+const (
+	// maxHeaderBytes is the most that a request's headers may take up.
+	maxHeaderBytes = 64 << 10
+
+	// headerTimeout bounds how long a client may take to send its headers.
+	headerTimeout = 10 * time.Second
+)
+
+// Node is one process of the system.
+type Node struct {
+	settings Settings
+	logger   *logrus.Logger
+	log      logs.Log
+	platform mesh.Platform
+	vars     *expvar.Map
+	front    *front
+	duties   []mesh.Duty
+	servers  []*server
+}
+
+// Option changes a node as it is made.
+type Option func(*Node)
+
+// WithPlatform replaces the platform that the settings name.
+func WithPlatform(p mesh.Platform) Option { return func(n *Node) { n.platform = p } }
+
+// WithLogger sets where the node logs to.
+func WithLogger(l *logrus.Logger) Option { return func(n *Node) { n.logger = l } }
+
+// New returns a node that is ready to run.
+func New(s Settings, options ...Option) (n *Node, err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prependf(err, "make the node of %s", s.PeerListen)
+		}
+	}()
+	n = &Node{settings: s, logger: logrus.New(), platform: store.New(s.Platform), vars: new(expvar.Map)}
+	for _, o := range options {
+		o(n)
+	}
+	n.log = logs.For(n.logger, "node")
+	signer, err := wire.NewSigner(s.Secrets...)
+	if err != nil {
+		return nil, err
+	}
+	n.build(signer)
+	return n, nil
+}
+
+// build makes the duties and joins them.
+func (n *Node) build(signer *wire.Signer) {
+	s, vars := n.settings, n.vars
+	control := &http.Client{Transport: &wire.Transport{Signer: signer, Base: newTransport(0)}}
+	out := newSenders(vars, logs.For(n.logger, "sender"))
+	platform := newPlatformDuty(vars, n.platform)
+	hosts := newRosterDuty(vars, s, logs.For(n.logger, "roster"))
+	hosts.senders, hosts.client = out, control
+	versions := newConfigDuty(vars, s, logs.For(n.logger, "config"))
+	versions.senders, versions.client, versions.platform, versions.roster = out, control, platform, hosts
+	contract := newContractDuty(vars, versions, logs.For(n.logger, "contract"))
+	gates := newGateDuty(vars, logs.For(n.logger, "gate"))
+	book := newCallsDuty(vars)
+	claims := newClaimDuty(vars, n.platform, logs.For(n.logger, "claim"))
+	routes := newRouteDuty(vars, versions, hosts)
+	meter := newMeterDuty(vars)
+	n.front = &front{
+		settings: s,
+		config:   versions, roster: hosts, contract: contract, gate: gates, calls: book,
+		claims: claims, route: routes, meter: meter,
+		carrier: &peerCarrier{transport: newTransport(0), signer: signer, config: versions},
+		targets: &targetClient{transport: newTransport(0), signer: signer},
+	}
+	n.duties = []mesh.Duty{platform, hosts, versions, contract, gates, book, claims, routes, meter}
+	for _, d := range out {
+		n.duties = append(n.duties, d)
+	}
+	n.servers = n.makeServers(signer, versions, hosts)
+}
+
+// server is one listener with its handler.
+type server struct {
+	name string
+	addr netip.AddrPort
+	http *http.Server
+}
+
+func (n *Node) makeServers(signer *wire.Signer, config wire.Config, hosts wire.Roster) (servers []*server) {
+	caller := newEcho()
+	caller.Any("/*", n.front.entry)
+
+	local := newEcho()
+	local.PUT("/quetzal/target", n.front.announce)
+	local.GET("/debug/vars", n.serveVars)
+	local.Any("/*", n.front.deeper)
+
+	peer := newEcho()
+	peer.Any("/call/*", n.front.peer)
+	control := http.NewServeMux()
+	control.Handle(wire.ConfigPathPrefix, wire.NewConfigServer(config))
+	control.Handle(wire.RosterPathPrefix, wire.NewRosterServer(hosts))
+	peer.Any("/twirp/*", echo.WrapHandler(signer.Verify(control)))
+
+	return []*server{
+		newServer("caller", n.settings.CallerListen, caller),
+		newServer("peer", n.settings.PeerListen, peer),
+		newServer("local", n.settings.LocalListen, local),
+	}
+}
+
+func newEcho() (e *echo.Echo) {
+	e = echo.New()
+	e.HideBanner, e.HidePort = true, true
+	return e
+}
+
+func newServer(name string, addr netip.AddrPort, h http.Handler) (s *server) {
+	return &server{name: name, addr: addr, http: &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       serverIdleTime,
+	}}
+}
+
+// serveVars shows the metrics of this node and of its process.
+func (n *Node) serveVars(c echo.Context) (err error) {
+	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, []byte(
+		fmt.Sprintf(`{"node":%s,"memstats":%s}`, n.vars, expvar.Get("memstats")),
+	))
+}
+
+// Run serves until ctx ends and then shuts down without cutting any request.
+func (n *Node) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prepend(err, "run node")
+		}
+	}()
+	var group run.Group
+	for _, d := range n.duties {
+		addDuty(&group, d)
+	}
+	for _, s := range n.servers {
+		if err := n.addServer(&group, s); err != nil {
+			return err
+		}
+	}
+	stopped, stop := context.WithCancel(ctx)
+	group.Add(func() error {
+		<-stopped.Done()
+		n.leave()
+		return nil
+	}, func(error) { stop() })
+	n.log.Infof("callers at %s, targets at %s, peers at %s.", n.settings.CallerListen, n.settings.LocalListen, n.settings.PeerListen)
+	err = group.Run()
+	n.log.Infof("stopped.")
+	return err
+}
+
+func addDuty(group *run.Group, d mesh.Duty) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return d.Run(ctx) }, func(error) { cancel() })
+}
+
+func (n *Node) addServer(group *run.Group, s *server) (err error) {
+	listener, err := net.Listen("tcp", s.addr.String())
+	if err != nil {
+		return merry.Prependf(err, "listen for %s", s.name)
+	}
+	closed := make(chan struct{})
+	group.Add(func() error {
+		err := s.http.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			return merry.Prependf(err, "serve %s", s.name)
+		}
+		// After a graceful shutdown the leave sequence decides when the
+		// group ends.
+		<-closed
+		return nil
+	}, func(error) {
+		_ = s.http.Close()
+		close(closed)
+	})
+	return nil
+}
+
+// leave is the graceful shutdown. Other nodes learn that this host is leaving
+// before its listeners close, and what is in flight is finished.
+func (n *Node) leave() {
+	n.log.Infof("leaving; finishing what is in flight.")
+	n.front.leaving.Store(true)
+	n.front.roster.events.Offer(roster.Leaving{})
+	time.Sleep(n.settings.LeaveTime)
+	for _, s := range n.servers {
+		if err := s.http.Shutdown(context.Background()); err != nil {
+			n.log.Warnf("shutdown of the %s listener: %v.", s.name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/node/serve.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/calls"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/gate"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// serve runs a call at a target of this host. It returns what is left of the
+// call's retry budget.
+func (f *front) serve(ctx context.Context, target netip.AddrPort, call *mesh.Call, payload *mesh.Payload) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
+	if refusal := f.takesWork(); refusal != nil {
+		return nil, call.Attempts, refusal
+	}
+	admitted, refusal := f.gate.Enter(ctx, target, call)
+	if refusal != nil {
+		return nil, call.Attempts, refusal
+	}
+	answer, left, refusal = f.deliver(ctx, target, admitted, call, payload)
+	if refusal != nil {
+		return nil, left, refusal
+	}
+	answer.Load = admitted.load
+	answer.Level = min(answer.Level, admitted.level)
+	return answer, left, nil
+}
+
+// takesWork refuses new work for targets of a host that is on its way out.
+func (f *front) takesWork() (refusal *mesh.Refusal) {
+	if f.leaving.Load() {
+		return mesh.NotRun(header.NodeLeaving, "the node is shutting down")
+	}
+	view := f.config.View()
+	if view != nil && view.Index.Zone.Out {
+		return mesh.NotRun(header.ZoneOut, "availability zone %q has been taken out", view.Index.Zone.Name)
+	}
+	return nil
+}
+
+// deliver sends an admitted call to the target and takes in its answer. The
+// gate learns how it ended.
+func (f *front) deliver(ctx context.Context, target netip.AddrPort, admitted admission, call *mesh.Call, payload *mesh.Payload) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
+	notRun := func(refusal *mesh.Refusal) (*mesh.Answer, int, *mesh.Refusal) {
+		f.gate.Leave(target, gate.Finished{Ticket: admitted.ticket, NotRun: true})
+		return nil, call.Attempts, refusal
+	}
+	if refusal := f.stillValid(call); refusal != nil {
+		return notRun(refusal)
+	}
+	if !call.Route.Idempotent {
+		if refusal := f.claims.Claim(ctx, call); refusal != nil {
+			return notRun(refusal)
+		}
+	}
+	token, refusal := f.calls.Open(call)
+	if refusal != nil {
+		f.release(call)
+		return notRun(refusal)
+	}
+	started := time.Now()
+	answer, refusal = f.targets.send(ctx, target, token, call, payload)
+	finished := gate.Finished{Ticket: admitted.ticket, Latency: time.Since(started)}
+	if refusal != nil {
+		finished.NotRun = refusal.Outcome == header.NotRun
+		finished.Overloaded = refusal.Code == header.TargetRefused
+		if refusal.Outcome == header.NotRun {
+			f.release(call)
+		}
+		f.gate.Leave(target, finished)
+		left, _ = f.calls.Close(token)
+		return nil, left, refusal
+	}
+	return f.finish(target, token, finished, started, answer)
+}
+
+func (f *front) release(call *mesh.Call) {
+	if !call.Route.Idempotent {
+		f.claims.Release(call)
+	}
+}
+
+// finish ends the delivery of an answer. An answer that is not yet whole holds
+// its slot until its body is closed, and returns no retry budget.
+func (f *front) finish(target netip.AddrPort, token calls.Token, finished gate.Finished, started time.Time, answer *mesh.Answer) (whole *mesh.Answer, left int, refusal *mesh.Refusal) {
+	stream, streams := answer.Body.(*streamedBody)
+	if streams {
+		stream.onClose = func() {
+			finished.Latency = time.Since(started)
+			f.gate.Leave(target, finished)
+			f.calls.Close(token)
+		}
+		return answer, 0, nil
+	}
+	f.gate.Leave(target, finished)
+	left, answer.Level = f.calls.Close(token)
+	return answer, left, nil
+}
+
+// peer serves a call that another node sends.
+func (f *front) peer(c echo.Context) (err error) {
+	r := c.Request()
+	if f.leaving.Load() {
+		c.Response().Header().Set("Connection", "close")
+	}
+	call, target, refusal := f.openPass(r.Header.Get(header.Pass))
+	if refusal != nil {
+		return f.refusePeer(c, 0, refusal)
+	}
+	payload, refusal := readPayload(c.Response(), r, call.Route.MaxBody)
+	if refusal != nil {
+		return f.refusePeer(c, call.Attempts, refusal)
+	}
+	ctx, cancel := contextFor(r, call.Deadline)
+	defer cancel()
+	answer, left, refusal := f.serve(ctx, target, call, payload)
+	if refusal != nil {
+		return f.refusePeer(c, left, refusal)
+	}
+	h := c.Response().Header()
+	h.Set(header.AttemptsLeft, strconv.Itoa(left))
+	h.Set(header.Level, strconv.Itoa(int(answer.Level)))
+	h.Set(header.Load, strconv.Itoa(answer.Load))
+	return writeAnswer(c, answer)
+}
+
+func (f *front) refusePeer(c echo.Context, left int, r *mesh.Refusal) (err error) {
+	h := c.Response().Header()
+	h.Set(header.AttemptsLeft, strconv.Itoa(left))
+	h.Set(header.Level, strconv.Itoa(int(r.Level)))
+	return writeRefusal(c, "", r)
+}
+
+// openPass returns the call that a pass describes and the target it is for.
+func (f *front) openPass(value string) (call *mesh.Call, target netip.AddrPort, refusal *mesh.Refusal) {
+	pass, err := f.targets.signer.Open(value)
+	if err != nil {
+		return nil, target, mesh.NotRun(header.PassInvalid, "%v", err)
+	}
+	view := f.config.View()
+	if view == nil {
+		return nil, target, mesh.NotRun(header.NoSettings, "the node has no settings yet")
+	}
+	route, found := view.Index.Named(mesh.ServiceName(pass.GetService()), pass.GetRoute(), mesh.OrganisationName(pass.GetOrganisation()))
+	if !found {
+		return nil, target, mesh.NotRun(header.RouteUnknown, "route %q of service %q does not exist in settings version %d", pass.GetRoute(), pass.GetService(), view.Version)
+	}
+	target, err = netip.ParseAddrPort(pass.GetTarget())
+	if err != nil {
+		return nil, target, mesh.NotRun(header.PassInvalid, "target: %v", err)
+	}
+	return callOf(pass, route, time.Now()), target, nil
+}
+
+func callOf(pass *wire.Pass, route *mesh.Route, now time.Time) (call *mesh.Call) {
+	call = &mesh.Call{
+		Route:        route,
+		Organisation: mesh.OrganisationName(pass.GetOrganisation()),
+		Weight:       int(pass.GetWeight()),
+		Deadline:     now.Add(time.Duration(pass.GetRemaining())),
+		Attempts:     int(pass.GetAttempts()),
+	}
+	copy(call.ID[:], pass.GetRequestId())
+	copy(call.Key[:], pass.GetKeyHash())
+	return call
+}
--- /dev/null
+++ b/internal/mesh/shape_test.go
@@ -0,0 +1,82 @@
+package mesh
+
+import (
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// modulePath starts the import path of every package of this module.
+const modulePath = "github.com/quetzalstack/quetzalstack/"
+
+// decisionPackages hold the decisions, which must work with any front end and
+// any encoding.
+var decisionPackages = []string{
+	"internal/mesh", "internal/mesh/calls", "internal/mesh/claim", "internal/mesh/config", "internal/mesh/gate",
+	"internal/mesh/retry", "internal/mesh/roster", "internal/mesh/route", "internal/mesh/share", "internal/mesh/tree",
+}
+
+// encodings must not be imported by a decision, directly or through another
+// package of this module.
+var encodings = []string{
+	"net/http", "encoding/json", "github.com/twitchtv/twirp", "google.golang.org/protobuf",
+	"go.yaml.in/yaml", "github.com/labstack/echo",
+}
+
+// TestDecisionsImportNoEncoding guards against a decision that depends on how
+// messages are encoded.
+func TestDecisionsImportNoEncoding(t *testing.T) {
+	for _, p := range decisionPackages {
+		seen := make(map[string]bool)
+		collectImports(t, p, seen)
+		for imported := range seen {
+			for _, e := range encodings {
+				if imported == e || strings.HasPrefix(imported, e+"/") {
+					t.Errorf("%s: got import of %s, want none", p, imported)
+				}
+			}
+		}
+	}
+}
+
+// collectImports adds the imports of a package to seen, following the packages
+// of this module.
+func collectImports(t *testing.T, dir string, seen map[string]bool) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("..", "..", filepath.FromSlash(dir), "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		if strings.HasSuffix(f, "_test.go") {
+			continue
+		}
+		parsed, err := parser.ParseFile(token.NewFileSet(), f, nil, parser.ImportsOnly)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, spec := range parsed.Imports {
+			path := strings.Trim(spec.Path.Value, `"`)
+			if seen[path] {
+				continue
+			}
+			seen[path] = true
+			if rest, own := strings.CutPrefix(path, modulePath); own {
+				collectImports(t, rest, seen)
+			}
+		}
+	}
+}
+
+// TestDecisionPackagesExist guards against a package that the import check
+// misses because its folder was renamed.
+func TestDecisionPackagesExist(t *testing.T) {
+	for _, p := range decisionPackages {
+		if _, err := os.Stat(filepath.Join("..", "..", filepath.FromSlash(p))); err != nil {
+			t.Errorf("got %v, want a folder", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/tree/index.go
@@ -0,0 +1,200 @@
+package tree
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// Index is a tree as one zone sees it, with all inheritance worked out. It is
+// immutable.
+type Index struct {
+	Zone      mesh.Zone
+	Zones     map[mesh.ZoneName]mesh.Zone
+	Contracts map[mesh.OrganisationName]mesh.Contract
+	Fleet     Fleet
+
+	services map[mesh.ServiceName]*service
+}
+
+// Fleet holds the values that apply to the fleet as a whole.
+type Fleet struct {
+	RetryRatio float64
+	KeyGrace   time.Duration
+	ShareLease time.Duration
+	ClaimKeep  time.Duration
+}
+
+// Target holds the values that apply to the targets of a service.
+type Target struct {
+	ColdLimit   int
+	TargetDelay time.Duration
+	QueueLength int
+}
+
+type service struct {
+	target Target
+
+	// routes is sorted by falling length of the path, so the first match is
+	// the longest.
+	routes []route
+}
+
+type route struct {
+	base mesh.Route
+
+	// byOrganisation holds the route for organisations that override it.
+	byOrganisation map[mesh.OrganisationName]*mesh.Route
+}
+
+// Index returns the tree as the named zone sees it. The tree must have passed
+// Check.
+func (t *Tree) Index(zone mesh.ZoneName) (x *Index) {
+	fleet := t.Fleet.over(Defaults())
+	x = &Index{
+		Zones:     t.zones(),
+		Contracts: t.contracts(fleet),
+		Fleet: Fleet{
+			RetryRatio: *fleet.RetryRatio,
+			KeyGrace:   *fleet.KeyGrace,
+			ShareLease: *fleet.ShareLease,
+			ClaimKeep:  *fleet.ClaimKeep,
+		},
+		services: make(map[mesh.ServiceName]*service),
+	}
+	x.Zone = x.Zones[zone]
+	x.Zone.Name = zone
+	above := t.Zones[zone].Settings.over(fleet)
+	for name, s := range t.Services {
+		x.services[name] = t.service(name, s, above)
+	}
+	return x
+}
+
+func (t *Tree) zones() (zones map[mesh.ZoneName]mesh.Zone) {
+	zones = make(map[mesh.ZoneName]mesh.Zone)
+	for name, z := range t.Zones {
+		zones[name] = mesh.Zone{Name: name, Region: z.Region, Out: z.Out}
+	}
+	return zones
+}
+
+func (t *Tree) contracts(fleet Settings) (contracts map[mesh.OrganisationName]mesh.Contract) {
+	contracts = make(map[mesh.OrganisationName]mesh.Contract)
+	for name, own := range t.Organisations {
+		s := own.over(fleet)
+		contracts[name] = mesh.Contract{Organisation: name, Rate: *s.Rate, Burst: *s.Burst, Weight: *s.Weight}
+	}
+	return contracts
+}
+
+func (t *Tree) service(name mesh.ServiceName, s Service, above Settings) (resolved *service) {
+	settings := s.Settings.over(above)
+	resolved = &service{target: Target{
+		ColdLimit:   *settings.ColdLimit,
+		TargetDelay: *settings.TargetDelay,
+		QueueLength: *settings.QueueLength,
+	}}
+	for routeName, r := range s.Routes {
+		resolved.routes = append(resolved.routes, t.route(name, routeName, r, settings))
+	}
+	slices.SortFunc(resolved.routes, func(a, b route) int {
+		if d := len(b.base.Path) - len(a.base.Path); d != 0 {
+			return d
+		}
+		return strings.Compare(a.base.Name, b.base.Name)
+	})
+	return resolved
+}
+
+func (t *Tree) route(serviceName mesh.ServiceName, name string, r Route, above Settings) (resolved route) {
+	settings := r.Settings.over(above)
+	base := mesh.Route{Service: serviceName, Name: name, Path: r.Path, Methods: r.Methods}
+	resolved = route{base: fill(base, settings), byOrganisation: make(map[mesh.OrganisationName]*mesh.Route)}
+	for organisation, own := range t.Organisations {
+		if own.Timeout != nil || own.Retries != nil || own.Class != nil || own.MaxBody != nil {
+			resolved.byOrganisation[organisation] = new(fill(base, own.over(settings)))
+		}
+	}
+	return resolved
+}
+
+func fill(base mesh.Route, s Settings) (r mesh.Route) {
+	r = base
+	r.Class = *s.Class
+	r.Idempotent = *s.Idempotent
+	r.Open = *s.Open
+	r.Once = *s.Once
+	r.Timeout = *s.Timeout
+	r.Retries = *s.Retries
+	r.MaxBody = *s.MaxBody
+	return r
+}
+
+// Target returns the target settings of a service.
+func (x *Index) Target(name mesh.ServiceName) (t Target, found bool) {
+	s, found := x.services[name]
+	if !found {
+		return Target{}, false
+	}
+	return s.target, true
+}
+
+// Route returns the route of a request. Its method and path choose the route,
+// whose settings the organisation may override.
+func (x *Index) Route(name mesh.ServiceName, method, path string) (m Match, found bool) {
+	s, found := x.services[name]
+	if !found {
+		return Match{}, false
+	}
+	for i := range s.routes {
+		r := &s.routes[i]
+		if underPath(path, r.base.Path) && (len(r.base.Methods) == 0 || slices.Contains(r.base.Methods, method)) {
+			return Match{route: r}, true
+		}
+	}
+	return Match{}, false
+}
+
+// HasService reports whether the tree names the service.
+func (x *Index) HasService(name mesh.ServiceName) (found bool) {
+	_, found = x.services[name]
+	return found
+}
+
+// underPath reports whether path lies below prefix, whole segments only.
+func underPath(path, prefix string) bool {
+	rest, found := strings.CutPrefix(path, strings.TrimSuffix(prefix, "/"))
+	return found && (rest == "" || rest[0] == '/')
+}
+
+// Match is a route before its organisation is known.
+type Match struct{ route *route }
+
+// Open reports whether the route needs no key.
+func (m Match) Open() bool { return m.route.base.Open }
+
+// For returns the route as it applies to the organisation, which is empty on
+// open routes.
+func (m Match) For(organisation mesh.OrganisationName) (r *mesh.Route) {
+	if own, found := m.route.byOrganisation[organisation]; found {
+		return own
+	}
+	return &m.route.base
+}
+
+// Named returns the route with a name, as it applies to the organisation.
+func (x *Index) Named(serviceName mesh.ServiceName, name string, organisation mesh.OrganisationName) (r *mesh.Route, found bool) {
+	s, found := x.services[serviceName]
+	if !found {
+		return nil, false
+	}
+	for i := range s.routes {
+		if s.routes[i].base.Name == name {
+			return Match{route: &s.routes[i]}.For(organisation), true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/mesh/wire/sign.go
@@ -0,0 +1,166 @@
+// Package wire holds the messages between nodes, generated from the .proto
+// files beside it, and the signatures that protect them.
+package wire
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Errors of a message that does not come from a node of the fleet.
+var (
+	ErrSignature = errors.New("signature does not match any secret of the fleet")
+	ErrMalformed = errors.New("signed message is malformed")
+	ErrStale     = errors.New("signed message is too old or from the future")
+)
+
+const (
+	signatureHeader = "Quetzal-Signature"
+
+	// MinSecret is the shortest accepted secret, in bytes.
+	MinSecret = 16
+
+	// maxClockError is how far the clocks of two nodes may differ.
+	maxClockError = time.Minute
+
+	// maxControlBody is the largest control message, in bytes.
+	maxControlBody = 64 << 20
+)
+
+// Signer signs with the first secret of the fleet and accepts all of them, so
+// that a secret can be replaced while nodes run.
+type Signer struct {
+	// secrets is never empty.
+	secrets [][]byte
+}
+
+// NewSigner returns a signer for the secrets, newest first.
+func NewSigner(secrets ...string) (s *Signer, err error) {
+	if len(secrets) == 0 {
+		return nil, errors.New("no secret is set")
+	}
+	s = new(Signer)
+	for i, text := range secrets {
+		if len(text) < MinSecret {
+			return nil, fmt.Errorf("secret %d has %d bytes; it must have at least %d", i+1, len(text), MinSecret)
+		}
+		s.secrets = append(s.secrets, []byte(text))
+	}
+	return s, nil
+}
+
+func mac(secret []byte, parts ...[]byte) (sum []byte) {
+	h := hmac.New(sha256.New, secret)
+	for _, p := range parts {
+		h.Write(p)
+	}
+	return h.Sum(nil)
+}
+
+func (s *Signer) verify(sum []byte, parts ...[]byte) (err error) {
+	for _, secret := range s.secrets {
+		if hmac.Equal(sum, mac(secret, parts...)) {
+			return nil
+		}
+	}
+	return ErrSignature
+}
+
+// passContext keeps the signature of a pass from being used for another kind
+// of message.
+var passContext = []byte("quetzal-pass\x00")
+
+// Seal returns the pass as a header value.
+func (s *Signer) Seal(pass *Pass) (value string, err error) {
+	data, err := proto.Marshal(pass)
+	if err != nil {
+		return "", fmt.Errorf("seal pass: %w", err)
+	}
+	sum := mac(s.secrets[0], passContext, data)
+	return base64.RawURLEncoding.EncodeToString(data) + "." + base64.RawURLEncoding.EncodeToString(sum), nil
+}
+
+// Open returns the pass in a header value that a node of the fleet sealed.
+func (s *Signer) Open(value string) (pass *Pass, err error) {
+	left, right, _ := strings.Cut(value, ".")
+	data, err1 := base64.RawURLEncoding.DecodeString(left)
+	sum, err2 := base64.RawURLEncoding.DecodeString(right)
+	if err1 != nil || err2 != nil {
+		return nil, ErrMalformed
+	}
+	if err := s.verify(sum, passContext, data); err != nil {
+		return nil, err
+	}
+	pass = new(Pass)
+	if err := proto.Unmarshal(data, pass); err != nil {
+		return nil, ErrMalformed
+	}
+	return pass, nil
+}
+
+// Transport signs control messages and sends them on through Base.
+type Transport struct {
+	Signer *Signer
+	Base   http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	signed := request.Clone(request.Context())
+	signed.Body = io.NopCloser(bytes.NewReader(body))
+	stamp := strconv.FormatInt(time.Now().UnixNano(), 10)
+	sum := mac(t.Signer.secrets[0], []byte(stamp), []byte(request.URL.Path), body)
+	signed.Header.Set(signatureHeader, stamp+"."+base64.RawURLEncoding.EncodeToString(sum))
+	return t.Base.RoundTrip(signed)
+}
+
+// Verify passes on the control messages that a node of the fleet signed.
+func (s *Signer) Verify(next http.Handler) (h http.Handler) {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControlBody))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := s.check(r, body); err != nil {
+			http.Error(w, err.Error(), http.StatusForbidden)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Signer) check(r *http.Request, body []byte) (err error) {
+	stamp, text, _ := strings.Cut(r.Header.Get(signatureHeader), ".")
+	sum, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return ErrMalformed
+	}
+	if err := s.verify(sum, []byte(stamp), []byte(r.URL.Path), body); err != nil {
+		return err
+	}
+	nanoseconds, err := strconv.ParseInt(stamp, 10, 64)
+	if err != nil {
+		return ErrMalformed
+	}
+	if age := time.Since(time.Unix(0, nanoseconds)); age.Abs() > maxClockError {
+		return ErrStale
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sample/sample.go
@@ -0,0 +1,172 @@
+// Package sample is a target for demos and tests. It announces itself to its
+// node, works for a while on each request and may call deeper services.
+package sample
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// Target is one sample target.
+type Target struct {
+	service mesh.ServiceName
+	node    netip.AddrPort
+	slots   int
+	work    time.Duration
+	deeper  []string
+	started time.Time
+
+	// inUse holds a token for each request that works, so that work beyond
+	// the slots waits as it would for a real processor.
+	inUse chan struct{}
+
+	mu sync.Mutex
+
+	// executions counts the runs of each request id.
+	executions map[string]int
+
+	// seenKeys is how many requests came with an Authorization header.
+	seenKeys int
+}
+
+// Option changes a target as it is made.
+type Option func(*Target)
+
+// WithSlots sets how many requests the target works on at a time.
+func WithSlots(n int) Option { return func(t *Target) { t.slots = n } }
+
+// WithWork sets how long a request takes.
+func WithWork(d time.Duration) Option { return func(t *Target) { t.work = d } }
+
+// WithDeeper adds calls, as paths of the local node, that each request makes.
+func WithDeeper(paths ...string) Option { return func(t *Target) { t.deeper = paths } }
+
+// New returns a target of a service, for the node whose local listener is at
+// the address.
+func New(service mesh.ServiceName, node netip.AddrPort, options ...Option) (t *Target) {
+	t = &Target{service: service, node: node, slots: 8, started: time.Now(), executions: make(map[string]int)}
+	for _, o := range options {
+		o(t)
+	}
+	t.inUse = make(chan struct{}, t.slots)
+	return t
+}
+
+// Executions returns how often each request id was run.
+func (t *Target) Executions() (counts map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts = make(map[string]int, len(t.executions))
+	for id, n := range t.executions {
+		counts[id] = n
+	}
+	return counts
+}
+
+// SeenKeys returns how many requests came with a key.
+func (t *Target) SeenKeys() (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.seenKeys
+}
+
+// Run serves on listener and announces the target until ctx ends.
+func (t *Target) Run(ctx context.Context, listener net.Listener) (err error) {
+	server := &http.Server{Handler: t, ReadHeaderTimeout: time.Second}
+	go func() {
+		addr := netip.MustParseAddrPort(listener.Addr().String())
+		for ctx.Err() == nil {
+			_ = t.Announce(ctx, addr, false)
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Second):
+			}
+		}
+		_ = server.Close()
+	}()
+	err = server.Serve(listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return fmt.Errorf("sample target of %s: %w", t.service, err)
+}
+
+// Announce tells the node about the target.
+func (t *Target) Announce(ctx context.Context, addr netip.AddrPort, draining bool) (err error) {
+	body, err := json.Marshal(map[string]any{
+		"service": t.service, "addr": addr, "slots": t.slots, "connections": 10 * t.slots,
+		"incarnation": t.started.UnixNano(), "draining": draining,
+	})
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+t.node.String()+"/quetzal/target", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		text, _ := io.ReadAll(response.Body)
+		return fmt.Errorf("announcement refused: %s", text)
+	}
+	return nil
+}
+
+// ServeHTTP implements http.Handler.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.count(r)
+	t.inUse <- struct{}{}
+	defer func() { <-t.inUse }()
+	body, _ := io.ReadAll(r.Body)
+	time.Sleep(t.work)
+	for _, path := range t.deeper {
+		if status, text := t.call(r, path); status >= http.StatusBadRequest {
+			http.Error(w, text, http.StatusBadGateway)
+			return
+		}
+	}
+	fmt.Fprintf(w, "%s %s %s %d", t.service, r.Method, r.URL.Path, len(body))
+}
+
+func (t *Target) count(r *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.executions[r.Header.Get(header.RequestID)]++
+	if r.Header.Get("Authorization") != "" {
+		t.seenKeys++
+	}
+}
+
+// call makes a deeper call through the local node.
+func (t *Target) call(r *http.Request, path string) (status int, text string) {
+	request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+t.node.String()+path, nil)
+	if err != nil {
+		return http.StatusInternalServerError, err.Error()
+	}
+	request.Header.Set(header.Call, r.Header.Get(header.Call))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return http.StatusBadGateway, err.Error()
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return http.StatusBadGateway, err.Error()
+	}
+	return response.StatusCode, string(data)
+}
