fault: matrix of every fault at every step of a request's life

Cause: single execution, truthful refusals, whole answers and recovery had no proof over separate processes. The table holds 17 faults, two of them pairs, and 7 steps; each cell runs one non-idempotent request with two resends over four node processes, with stand-ins for the platform and the targets. Open: a request refused for a lost answer of the platform keeps its claim, so its resend is answered already-claimed.

--- /dev/null
+++ b/internal/fault/matrix_test.go
@@ -0,0 +1,247 @@
+package fault
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// step is a moment in the life of a request at which a fault is injected.
+type step struct {
+	name string
+
+	// hold is where the request stops; nil means before it is sent.
+	hold func(c *cluster) *hold
+}
+
+var steps = []step{
+	{"before-send", nil},
+	{"claim-sent", func(c *cluster) *hold { return &c.platform.before }},
+	{"claim-written", func(c *cluster) *hold { return &c.platform.after }},
+	{"target-received", func(c *cluster) *hold { return &c.ledger.received }},
+	{"deeper-received", func(c *cluster) *hold { return &c.balance.received }},
+	{"target-worked", func(c *cluster) *hold { return &c.ledger.worked }},
+	{"answer-half-sent", func(c *cluster) *hold { return &c.ledger.half }},
+}
+
+// fault is something that fails, and how it is made good again.
+type fault struct {
+	name   string
+	inject func(c *cluster)
+	heal   func(c *cluster)
+
+	// planned is true when the fault is a planned stop, which must cut no
+	// request that has reached a target.
+	planned bool
+}
+
+// suspectPause is longer than the silence after which a host is suspect.
+const suspectPause = 3500 * time.Millisecond
+
+func killNode(host int) (inject, heal func(c *cluster)) {
+	return func(c *cluster) { c.kill(host) }, func(c *cluster) { c.startNode(host) }
+}
+
+func pauseNode(host int) (inject, heal func(c *cluster)) {
+	return func(c *cluster) {
+		c.signal(host, syscall.SIGSTOP)
+		time.Sleep(suspectPause)
+	}, func(c *cluster) { c.signal(host, syscall.SIGCONT) }
+}
+
+func faults() (all []fault) {
+	add := func(name string, inject, heal func(c *cluster)) {
+		all = append(all, fault{name: name, inject: inject, heal: heal})
+	}
+	killEntry, startEntry := killNode(entryHost)
+	killLedger, startLedger := killNode(ledgerHost)
+	killBalance, startBalance := killNode(balanceHost)
+	pauseEntry, continueEntry := pauseNode(entryHost)
+	pauseLedger, continueLedger := pauseNode(ledgerHost)
+	add("kill-entry-node", killEntry, startEntry)
+	add("kill-target-node", killLedger, startLedger)
+	add("kill-deeper-node", killBalance, startBalance)
+	add("pause-entry-node", pauseEntry, continueEntry)
+	add("pause-target-node", pauseLedger, continueLedger)
+	add("kill-target", func(c *cluster) { c.ledger.kill() }, func(c *cluster) { c.ledger.start(c.t) })
+	add("link-cut", func(c *cluster) { c.link.setCut(true) }, func(c *cluster) { c.link.setCut(false) })
+	add("platform-down", platformFault(stub.Faults{Down: true}), platformFault(stub.Faults{}))
+	add("platform-slow", platformFault(stub.Faults{Delay: 500 * time.Millisecond}), platformFault(stub.Faults{}))
+	add("platform-answer-lost", platformFault(stub.Faults{LoseAnswers: 1}), platformFault(stub.Faults{}))
+	add("key-withdrawn", withdrawKey, func(c *cluster) { c.giveKey() })
+	add("kill-target-node-and-platform-down",
+		func(c *cluster) { killLedger(c); platformFault(stub.Faults{Down: true})(c) },
+		func(c *cluster) { platformFault(stub.Faults{})(c); startLedger(c) })
+	add("link-cut-and-answer-lost",
+		func(c *cluster) { c.link.setCut(true); platformFault(stub.Faults{LoseAnswers: 1})(c) },
+		func(c *cluster) { platformFault(stub.Faults{})(c); c.link.setCut(false) })
+	all = append(all,
+		fault{
+			name: "zone-out", planned: true,
+			inject: func(c *cluster) { c.putTree(true) }, heal: func(c *cluster) { c.putTree(false) },
+		},
+		fault{
+			name: "target-draining", planned: true,
+			inject: func(c *cluster) { c.ledger.setDraining(true) }, heal: func(c *cluster) { c.ledger.setDraining(false) },
+		},
+		fault{
+			name: "terminate-target-node", planned: true,
+			inject: func(c *cluster) { c.signal(ledgerHost, syscall.SIGTERM) },
+			heal:   func(c *cluster) { _ = c.nodes[ledgerHost].Wait(); startLedger(c) },
+		},
+		fault{
+			name: "terminate-entry-node", planned: true,
+			inject: func(c *cluster) { c.signal(entryHost, syscall.SIGTERM) },
+			heal:   func(c *cluster) { _ = c.nodes[entryHost].Wait(); startEntry(c) },
+		})
+	return all
+}
+
+func platformFault(f stub.Faults) (inject func(c *cluster)) {
+	return func(c *cluster) { c.platform.SetFaults(f) }
+}
+
+func withdrawKey(c *cluster) {
+	if _, err := admin.Withdraw(context.Background(), c.client, "test", mesh.HashKey(c.key)); err != nil {
+		c.t.Error(err)
+	}
+}
+
+func newID(t *testing.T) (id string) {
+	t.Helper()
+	made, err := mesh.NewRequestID()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return made.String()
+}
+
+// result is what a caller saw of one attempt.
+type result struct {
+	status  int
+	outcome header.OutcomeValue
+	code    string
+
+	// ran is true when the whole answer to this very request arrived.
+	ran bool
+
+	// foreign is true when the answer looked whole but was another one's.
+	foreign bool
+}
+
+// attemptBound ends an attempt of a caller some time after the deadline of its
+// route has passed.
+const attemptBound = 6 * time.Second
+
+// payout sends one non-idempotent request as a caller would.
+func (c *cluster) payout(host int, id string) (r result) {
+	ctx, cancel := context.WithTimeout(context.Background(), attemptBound)
+	defer cancel()
+	url := "http://" + c.addr(host, callerPort).String() + "/ledger/payouts"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("amount=1"))
+	if err != nil {
+		return r
+	}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	request.Header.Set(header.RequestID, id)
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return r
+	}
+	defer response.Body.Close()
+	r.status = response.StatusCode
+	r.outcome = header.OutcomeValue(response.Header.Get(header.Outcome))
+	r.code = response.Header.Get(header.Code)
+	body, err := io.ReadAll(response.Body)
+	if err == nil && r.outcome == header.Ran {
+		r.ran = string(body) == answerText(id)
+		r.foreign = !r.ran
+	}
+	return r
+}
+
+// TestFaultMatrix injects every fault at every step of a request's life and
+// checks what targets and callers saw. It guards against a request that runs
+// twice, a refusal that says not run although it ran, an answer that is not
+// whole or belongs to another request, a key that reaches a target, and a
+// service that does not recover.
+func TestFaultMatrix(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts many processes")
+	}
+	for i, f := range faults() {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, i)
+			for _, s := range steps {
+				t.Run(s.name, func(t *testing.T) { c.cell(t, f, s) })
+			}
+		})
+	}
+}
+
+// cell runs one request with one fault at one step.
+func (c *cluster) cell(t *testing.T, f fault, s step) {
+	id := newID(t)
+	first := c.underFault(t, f, s, id)
+	runsAfterFirst := c.ledger.runs(id)
+	if first.outcome == header.NotRun && runsAfterFirst > 0 {
+		t.Errorf("first attempt: got not-run (%s) and %d runs, want none", first.code, runsAfterFirst)
+	}
+	if f.planned && s.hold != nil && runsAfterFirst > 0 && !first.ran {
+		t.Errorf("planned stop: got %+v, want the whole answer", first)
+	}
+	again := c.payout(otherHost, id)
+	f.heal(c)
+	c.awaitService()
+	last := c.payout(otherHost, id)
+	for i, r := range []result{first, again, last} {
+		if r.foreign {
+			t.Errorf("attempt %d: got the answer to another request", i)
+		}
+	}
+	runs, keys := c.ledger.maxRuns()
+	if runs > 1 {
+		t.Errorf("got %d runs of one request, want at most 1; attempts %+v %+v %+v", runs, first, again, last)
+	}
+	if keys > 0 {
+		t.Errorf("got %d requests with a key at the target, want none", keys)
+	}
+	if notRun(first) && notRun(again) && notRun(last) && c.ledger.runs(id) > 0 {
+		t.Errorf("got a run of a request whose attempts were all refused as not run")
+	}
+	t.Logf("%+v, then %+v, healed %+v", first, again, last)
+}
+
+func notRun(r result) bool { return r.outcome == header.NotRun }
+
+// underFault sends a request, injects the fault when the request has reached
+// the step, and returns what the caller saw.
+func (c *cluster) underFault(t *testing.T, f fault, s step, id string) (r result) {
+	t.Helper()
+	if s.hold == nil {
+		f.inject(c)
+		return c.payout(entryHost, id)
+	}
+	h := s.hold(c)
+	h.arm()
+	defer h.open()
+	answer := make(chan result, 1)
+	go func() { answer <- c.payout(entryHost, id) }()
+	if !h.wait() {
+		t.Fatalf("the request did not reach the step in %v", recoveryBound)
+	}
+	f.inject(c)
+	h.open()
+	return <-answer
+}
