--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -27,6 +27,7 @@
 	commander.Register(commander.HelpCommand(), "help")
 	commander.Register(commander.FlagsCommand(), "help")
 	commander.Register(&nodeCommand{}, "processes")
+	commander.Register(&demoCommand{}, "stand-ins")
 	commander.Register(&platformCommand{}, "stand-ins")
 	commander.Register(&sampleCommand{}, "stand-ins")
 	commander.Register(&settingsCommand{}, "operators")
--- /dev/null
+++ b/internal/demo/scenario.go
@@ -0,0 +1,130 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Lengths of the phases.
+const (
+	steadyLength  = 4 * time.Second
+	surgeLength   = 6 * time.Second
+	afterLength   = 5 * time.Second
+	zoneLength    = 6 * time.Second
+	latencyProbes = 400
+)
+
+// report is what the demo found.
+type report struct {
+	direct, through *tally
+	phases          []*phase
+	recovery        time.Duration
+	recovered       bool
+}
+
+// scenario runs the phases one after the other.
+func (f *fleet) scenario(ctx context.Context, out io.Writer) (r *report, err error) {
+	r = new(report)
+	if err := f.measureLatency(ctx, out, r); err != nil {
+		return nil, err
+	}
+	steady := []demand{{"large", 150, 0.1, 0}, {"small", 50, 0.1, 0}}
+	surge := []demand{{"large", 1200, 0.1, 3}, {"small", 50, 0.1, 0}}
+	r.add(out, f.run(ctx, "steady", steadyLength, steady...))
+	r.add(out, f.run(ctx, "surge: large sends 3 times its rate, resends hard", surgeLength, surge...))
+	after := f.run(ctx, "after the surge", afterLength, steady...)
+	r.add(out, after)
+	r.recovery, r.recovered = recovery(after, 200)
+	if err := f.putTree(ctx, true); err != nil {
+		return nil, err
+	}
+	r.add(out, f.run(ctx, "zone demo-b taken out", zoneLength, steady...))
+	if err := f.putTree(ctx, false); err != nil {
+		return nil, err
+	}
+	r.add(out, f.run(ctx, "zone demo-b returned", zoneLength, steady...))
+	return r, ctx.Err()
+}
+
+// measureLatency compares a target called directly with the same through the
+// nodes. The deepest service is called, so that the work is the same.
+func (f *fleet) measureLatency(ctx context.Context, out io.Writer, r *report) (err error) {
+	fmt.Fprintf(out, "measuring the latency that nodes add, %d requests each\n", latencyProbes)
+	c := newClient()
+	get := func(url string) bool {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return false
+		}
+		request.Header.Set("Authorization", "Bearer "+keys["small"])
+		response, err := c.http.Do(request)
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		_, err = io.Copy(io.Discard, response.Body)
+		return err == nil && response.StatusCode == http.StatusOK
+	}
+	if r.direct, err = latency(latencyProbes, func() bool { return get("http://" + f.direct.String() + "/x") }); err != nil {
+		return err
+	}
+	entry := f.entries[0].String()
+	r.through, err = latency(latencyProbes, func() bool { return get("http://" + entry + "/balance/x") })
+	return err
+}
+
+// recovery returns the time from the start of a phase until each later second
+// brings at least nine tenths of the wanted answers.
+func recovery(p *phase, wanted int) (d time.Duration, recovered bool) {
+	recoveredAt := len(p.seconds)
+	for i := len(p.seconds) - 1; i >= 0 && p.seconds[i] >= wanted*9/10; i-- {
+		recoveredAt = i
+	}
+	return time.Duration(recoveredAt) * time.Second, recoveredAt < len(p.seconds)
+}
+
+func (r *report) add(out io.Writer, p *phase) {
+	r.phases = append(r.phases, p)
+	fmt.Fprintf(out, "  %s: done\n", p.name)
+}
+
+// write prints the report.
+func (r *report) write(out io.Writer) {
+	fmt.Fprintln(out, "\nreport")
+	fmt.Fprintf(out, "  latency of the same call, direct:         p50 %v, p99 %v\n", r.direct.quantile(50), r.direct.quantile(99))
+	fmt.Fprintf(out, "  latency of the same call, through nodes:  p50 %v, p99 %v\n", r.through.quantile(50), r.through.quantile(99))
+	fmt.Fprintf(out, "  added by the nodes:                       p50 %v, p99 %v\n",
+		r.through.quantile(50)-r.direct.quantile(50), r.through.quantile(99)-r.direct.quantile(99))
+	for _, p := range r.phases {
+		p.write(out)
+	}
+	if r.recovered {
+		fmt.Fprintf(out, "  recovery after the surge: within %v of its end\n", r.recovery+time.Second)
+	} else {
+		fmt.Fprintln(out, "  recovery after the surge: not seen")
+	}
+}
+
+func (p *phase) write(out io.Writer) {
+	goodput, worst, worstName := 0, 101.0, ""
+	for _, name := range slices.Sorted(maps.Keys(p.tallies)) {
+		t := p.tallies[name]
+		goodput += t.answered
+		if t.part() < worst {
+			worst, worstName = t.part(), name
+		}
+	}
+	fmt.Fprintf(out, "  %s\n", p.name)
+	fmt.Fprintf(out, "    goodput %.0f requests a second; worst served: %s, %.1f%% of its requests answered\n",
+		float64(goodput)/p.length.Seconds(), worstName, worst)
+	for _, name := range slices.Sorted(maps.Keys(p.tallies)) {
+		t := p.tallies[name]
+		fmt.Fprintf(out, "    %-14s sent %5d, answered %5d, refused for rate %5d, refused otherwise %5d, uncertain %3d, p99 %v\n",
+			name, t.sent, t.answered, t.rateRefused, t.refused, t.uncertain, t.quantile(99))
+	}
+}
