--- a/internal/mesh/node/latency_test.go
+++ b/internal/mesh/node/latency_test.go
@@ -19,6 +19,7 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh/store"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
 	"github.com/quetzalstack/quetzalstack/internal/sample"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
 const benchTree = `
@@ -142,6 +143,23 @@
 	tb.Fatalf("got no answer from %s in 10s, want one", url)
 }
 
+// awaitCode waits until a request is refused with the code.
+func awaitCode(tb testing.TB, url string, code header.RefusalCode) {
+	tb.Helper()
+	var got string
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		response, err := http.Get(url)
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if got = response.Header.Get(header.Code); got == string(code) {
+			return
+		}
+	}
+	tb.Fatalf("got code %q from %s after 10s, want %q", got, url, code)
+}
+
 // measureLatency sends b.N requests from a few callers and reports quantiles.
 func measureLatency(b *testing.B, url string) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchCallers}}
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -18,6 +19,16 @@
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
+// CountPath answers what the target has counted, in the headers below,
+// without counting as a run.
+const CountPath = "/sample/counts"
+
+// Headers of the answer to CountPath.
+const (
+	CountHeader = "Sample-Runs"
+	KeysHeader  = "Sample-Keys"
+)
+
 // Target is one sample target.
 type Target struct {
 	service mesh.ServiceName
@@ -129,8 +140,16 @@
 
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == CountPath {
+		t.writeCounts(w)
+		return
+	}
 	t.count(r)
-	t.inUse <- struct{}{}
+	select {
+	case t.inUse <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
 	defer func() { <-t.inUse }()
 	body, _ := io.ReadAll(r.Body)
 	time.Sleep(t.work)
@@ -143,6 +162,15 @@
 	fmt.Fprintf(w, "%s %s %s %d", t.service, r.Method, r.URL.Path, len(body))
 }
 
+func (t *Target) writeCounts(w http.ResponseWriter) {
+	runs := 0
+	for _, n := range t.Executions() {
+		runs += n
+	}
+	w.Header().Set(CountHeader, strconv.Itoa(runs))
+	w.Header().Set(KeysHeader, strconv.Itoa(t.SeenKeys()))
+}
+
 func (t *Target) count(r *http.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
