fault: proofs of the promises over separate processes

Withdrawn keys, a zone out and back, a draining target, operators that race, a planned stop under load, a platform outage and the contract over all hosts.

--- a/internal/fault/matrix_test.go
+++ b/internal/fault/matrix_test.go
@@ -74,16 +74,16 @@
 	add("pause-target-node", pauseLedger, continueLedger)
 	add("kill-target", func(c *cluster) { c.ledger.kill() }, func(c *cluster) { c.ledger.start(c.t) })
 	add("link-cut", func(c *cluster) { c.link.setCut(true) }, func(c *cluster) { c.link.setCut(false) })
-	add("platform-down", platformFault(stub.Faults{Down: true}), platformFault(stub.Faults{}))
-	add("platform-slow", platformFault(stub.Faults{Delay: 500 * time.Millisecond}), platformFault(stub.Faults{}))
-	add("platform-answer-lost", platformFault(stub.Faults{LoseAnswers: 1}), platformFault(stub.Faults{}))
+	add("platform-down", platformFault(downFaults), platformFault(noFaults))
+	add("platform-slow", platformFault(stub.Faults{Delay: 500 * time.Millisecond}), platformFault(noFaults))
+	add("platform-answer-lost", platformFault(stub.Faults{LoseAnswers: 1}), platformFault(noFaults))
 	add("key-withdrawn", withdrawKey, func(c *cluster) { c.giveKey() })
 	add("kill-target-node-and-platform-down",
-		func(c *cluster) { killLedger(c); platformFault(stub.Faults{Down: true})(c) },
-		func(c *cluster) { platformFault(stub.Faults{})(c); startLedger(c) })
+		func(c *cluster) { killLedger(c); platformFault(downFaults)(c) },
+		func(c *cluster) { platformFault(noFaults)(c); startLedger(c) })
 	add("link-cut-and-answer-lost",
 		func(c *cluster) { c.link.setCut(true); platformFault(stub.Faults{LoseAnswers: 1})(c) },
-		func(c *cluster) { platformFault(stub.Faults{})(c); c.link.setCut(false) })
+		func(c *cluster) { platformFault(noFaults)(c); c.link.setCut(false) })
 	all = append(all,
 		fault{
 			name: "zone-out", planned: true,
@@ -245,3 +245,19 @@
 	h.open()
 	return <-answer
 }
+
+// States of the platform.
+var (
+	noFaults   = stub.Faults{}
+	downFaults = stub.Faults{Down: true}
+)
+
+// awaitNewKey waits until a version with a new key is in force on all hosts, and
+// with it all versions before.
+func (c *cluster) awaitNewKey() {
+	c.t.Helper()
+	c.giveKey()
+	for host := range hostCount {
+		c.awaitRead(host)
+	}
+}
--- /dev/null
+++ b/internal/fault/promise_test.go
@@ -0,0 +1,326 @@
+package fault
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// Numbers of the clusters that these tests use; the matrix has those from 0.
+const (
+	withdrawCluster = 100 + iota
+	zoneCluster
+	drainCluster
+	raceCluster
+	terminateCluster
+	contractCluster
+	insideCluster
+	outageCluster
+)
+
+// awaitRefused waits until a request is refused with one of the codes.
+func (c *cluster) awaitRefused(host int, codes ...header.RefusalCode) {
+	c.t.Helper()
+	var last result
+	for end := time.Now().Add(recoveryBound); time.Now().Before(end); time.Sleep(pollPause) {
+		last = c.payout(host, newID(c.t))
+		for _, code := range codes {
+			if last.outcome == header.NotRun && last.code == string(code) {
+				return
+			}
+		}
+	}
+	c.t.Fatalf("host %d: got %+v for %v, want %v", host, last, recoveryBound, codes)
+}
+
+// expectNoRuns sends requests through both entries and checks that none
+// reaches the target.
+func (c *cluster) expectNoRuns(n int) {
+	c.t.Helper()
+	before := c.ledger.allRuns()
+	for range n {
+		for _, host := range []int{entryHost, otherHost} {
+			if r := c.payout(host, newID(c.t)); r.outcome != header.NotRun {
+				c.t.Errorf("host %d: got %+v, want a refusal as not run", host, r)
+			}
+		}
+	}
+	if got := c.ledger.allRuns(); got != before {
+		c.t.Errorf("got %d new runs, want none", got-before)
+	}
+}
+
+// TestWithdrawnKeyStops guards against a key that still works some seconds
+// after it was withdrawn, on a new or a kept-alive connection.
+func TestWithdrawnKeyStops(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, withdrawCluster)
+	kept := &http.Client{Timeout: attemptBound}
+	if code := c.read(kept, entryHost); code != "" {
+		t.Fatalf("got code %q, want an answer", code)
+	}
+	withdrawKey(c)
+	for _, host := range []int{entryHost, otherHost, ledgerHost, balanceHost} {
+		c.awaitRefused(host, header.KeyWithdrawn)
+	}
+	c.expectNoRuns(20)
+	if got, want := c.read(kept, entryHost), string(header.KeyWithdrawn); got != want {
+		t.Errorf("kept-alive connection: got code %q, want %q", got, want)
+	}
+}
+
+// read sends an idempotent request over the client's connections and returns
+// the code of its refusal.
+func (c *cluster) read(client *http.Client, host int) (code string) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+c.addr(host, callerPort).String()+"/ledger/x", nil)
+	if err != nil {
+		return err.Error()
+	}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	response, err := client.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.Header.Get(header.Code)
+}
+
+// TestZoneOutGetsNoNewWork guards against a zone that still gets work some
+// seconds after it was taken out, and one that gets none after its return.
+func TestZoneOutGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, zoneCluster)
+	c.putTree(true)
+	for _, host := range []int{entryHost, otherHost, ledgerHost} {
+		c.awaitRefused(host, header.NoTarget, header.ZoneOut)
+	}
+	c.expectNoRuns(20)
+	c.putTree(false)
+	c.awaitService()
+}
+
+// TestDrainingTargetGetsNoNewWork guards against a leaving target that still
+// gets work after some seconds.
+func TestDrainingTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, drainCluster)
+	c.ledger.setDraining(true)
+	for _, host := range []int{entryHost, otherHost} {
+		c.awaitRefused(host, header.NoTarget, header.TargetDraining)
+	}
+	c.expectNoRuns(20)
+	c.ledger.setDraining(false)
+	c.awaitService()
+}
+
+// TestOperatorRace guards against a change that another operator's change
+// overwrites without a word.
+func TestOperatorRace(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, raceCluster)
+	const operators = 8
+	var group sync.WaitGroup
+	var accepted, conflicts atomic.Int64
+	before, _, err := admin.Current(context.Background(), c.client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range operators {
+		group.Go(func() {
+			_, err := admin.Put(context.Background(), c.client, fmt.Sprintf("operator-%d", i), fmt.Appendf(nil, settingsTree, false))
+			var conflict *admin.ConflictError
+			switch {
+			case err == nil:
+				accepted.Add(1)
+			case errors.As(err, &conflict) && conflict.Winner.By != "":
+				conflicts.Add(1)
+			default:
+				t.Errorf("got %v, want success or a conflict that names the winner", err)
+			}
+		})
+	}
+	group.Wait()
+	after, _, err := admin.Current(context.Background(), c.client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := after.Version-before.Version, uint64(accepted.Load()); got != want {
+		t.Errorf("got %d new versions, want one for each of %d accepted changes (%d conflicts)", got, want, conflicts.Load())
+	}
+	c.awaitService()
+}
+
+// TestTerminateUnderLoad guards against a planned stop of a node that cuts
+// requests of callers that use it, or that it serves for others.
+func TestTerminateUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, terminateCluster)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var sent, uncertain atomic.Int64
+	for range 8 {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				sent.Add(1)
+				// A refused connection after the listener closed is no cut.
+				if r := c.payout(entryHost, newID(t)); !r.ran && r.outcome != header.NotRun && r.status != 0 {
+					uncertain.Add(1)
+					t.Errorf("got %+v, want an answer or a refusal as not run", r)
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	c.signal(ledgerHost, syscall.SIGTERM)
+	if err := c.nodes[ledgerHost].Wait(); err != nil {
+		t.Errorf("exit: got %v, want none", err)
+	}
+	c.startNode(ledgerHost)
+	c.awaitRan(otherHost)
+	close(stop)
+	group.Wait()
+	t.Logf("%d requests, %d uncertain", sent.Load(), uncertain.Load())
+}
+
+// TestPlatformOutage guards against a service that stops, a key that stops
+// working, or a node that cannot start while the platform is down.
+func TestPlatformOutage(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, outageCluster)
+	platformFault(downFaults)(c)
+	client := &http.Client{Timeout: attemptBound}
+	for range 20 {
+		if code := c.read(client, entryHost); code != "" {
+			t.Errorf("read: got code %q, want an answer", code)
+		}
+	}
+	c.kill(otherHost)
+	c.startNode(otherHost)
+	c.awaitRead(otherHost)
+	if r := c.payout(entryHost, newID(t)); r.outcome != header.NotRun || r.code != string(header.ClaimUnavailable) {
+		t.Errorf("payout: got %+v, want %s", r, header.ClaimUnavailable)
+	}
+	platformFault(noFaults)(c)
+	c.awaitService()
+}
+
+// awaitRead waits until an idempotent request is served.
+func (c *cluster) awaitRead(host int) {
+	c.t.Helper()
+	client := &http.Client{Timeout: attemptBound}
+	var code string
+	for end := time.Now().Add(recoveryBound); time.Now().Before(end); time.Sleep(pollPause) {
+		if code = c.read(client, host); code == "" {
+			return
+		}
+	}
+	c.t.Fatalf("host %d: got code %q for %v, want an answer", host, code, recoveryBound)
+}
+
+// admission is the time that one request took, as its caller saw it.
+type admission struct{ sent, received time.Time }
+
+// TestContractOverAllHosts guards against an organisation that gets more than
+// its rate and burst by sending to all hosts at the same time.
+func TestContractOverAllHosts(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, contractCluster)
+	const rate, burst = 50.0, 20.0
+	c.setContract(rate, burst)
+	var mu sync.Mutex
+	var admitted []admission
+	var group sync.WaitGroup
+	end := time.Now().Add(4 * time.Second)
+	for host := range hostCount {
+		for range 4 {
+			group.Go(func() {
+				client := &http.Client{Timeout: attemptBound}
+				for time.Now().Before(end) {
+					sent := time.Now()
+					if c.read(client, host) != "" {
+						continue
+					}
+					mu.Lock()
+					admitted = append(admitted, admission{sent: sent, received: time.Now()})
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	group.Wait()
+	checkContract(t, admitted, rate, burst)
+	t.Logf("%d requests admitted in 4s", len(admitted))
+}
+
+// checkContract compares the requests that lie wholly within any window with
+// burst + rate x window.
+func checkContract(t *testing.T, admitted []admission, rate, burst float64) {
+	t.Helper()
+	for _, first := range admitted {
+		for _, last := range admitted {
+			window := last.received.Sub(first.sent)
+			if window <= 0 {
+				continue
+			}
+			n := 0
+			for _, a := range admitted {
+				if !a.sent.Before(first.sent) && !a.received.After(last.received) {
+					n++
+				}
+			}
+			if limit := burst + rate*window.Seconds(); float64(n) > limit {
+				t.Fatalf("got %d requests in %v, want at most %.1f", n, window, limit)
+			}
+		}
+	}
+}
+
+// setContract gives the organisation a contract and waits until it is in
+// force on all hosts.
+func (c *cluster) setContract(rate, burst float64) {
+	c.t.Helper()
+	text := fmt.Sprintf(settingsTree, false)
+	text = strings.Replace(text, "{rate: 1000, burst: 1000}", fmt.Sprintf("{rate: %v, burst: %v}", rate, burst), 1)
+	if _, err := admin.Put(context.Background(), c.client, "test", []byte(text)); err != nil {
+		c.t.Fatal(err)
+	}
+	c.awaitNewKey()
+}
+
+// TestInsideContract guards against an organisation that is refused although
+// it stays inside its rate, when all its requests come in at one host.
+func TestInsideContract(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, insideCluster)
+	c.setContract(100, 50)
+	client := &http.Client{Timeout: attemptBound}
+	refused := 0
+	ticker := time.NewTicker(time.Second / 80)
+	defer ticker.Stop()
+	for range 400 {
+		<-ticker.C
+		if c.read(client, entryHost) == string(header.RateExceeded) {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("got %d refusals in 400 requests at 80 a second, want none at a rate of 100", refused)
+	}
+}
