node, fault: count bytes between peers; benchmark of control cost

BenchmarkControl starts 10, 40 and 120 nodes without callers and reports bytes, processor time, memory and platform requests.

--- /dev/null
+++ b/internal/fault/control_test.go
@@ -0,0 +1,190 @@
+package fault
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/store"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
+)
+
+const (
+	controlCluster = 200
+
+	// controlSettle lets a fleet find together before it is measured.
+	controlSettle = 15 * time.Second
+
+	// controlSpan is how long a fleet is measured.
+	controlSpan = 20 * time.Second
+
+	// clockTick is the unit of processor time in /proc on Linux.
+	clockTick = 10 * time.Millisecond
+)
+
+// usage is what one node process has used so far.
+type usage struct {
+	processor time.Duration
+	resident  int64
+	bytes     int64
+}
+
+// controlFleet is a fleet of nodes without callers.
+type controlFleet struct {
+	b        *testing.B
+	platform *stub.Stub
+	client   *store.Client
+	nodes    []*exec.Cmd
+	locals   []netip.AddrPort
+}
+
+// BenchmarkControl measures what nodes without callers spend: bytes, processor
+// time and memory, over the number of nodes. One settings change falls into
+// the measured span.
+func BenchmarkControl(b *testing.B) {
+	for i, n := range []int{10, 40, 120} {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) { measureControl(b, controlCluster+i, n) })
+	}
+}
+
+func measureControl(b *testing.B, number, count int) {
+	f := startFleet(b, number, count)
+	time.Sleep(controlSettle)
+	before, reads, writes := f.usage(), f.platform.Counts().Reads, f.platform.Counts().Writes
+	time.Sleep(controlSpan / 2)
+	f.change()
+	time.Sleep(controlSpan / 2)
+	after := f.usage()
+	seconds := controlSpan.Seconds()
+	b.ReportMetric(float64(after.bytes-before.bytes)/seconds/float64(count), "bytes/s/node")
+	b.ReportMetric(100*(after.processor-before.processor).Seconds()/seconds/float64(count), "%core/node")
+	b.ReportMetric(float64(after.resident)/float64(count)/(1<<20), "MB/node")
+	b.ReportMetric(float64(f.platform.Counts().Reads-reads)/seconds, "platform-reads/s")
+	b.ReportMetric(float64(f.platform.Counts().Writes-writes)/seconds, "platform-writes/s")
+}
+
+func startFleet(b *testing.B, number, count int) (f *controlFleet) {
+	b.Helper()
+	f = &controlFleet{b: b, platform: stub.New()}
+	addr := func(host int, port uint16) netip.AddrPort {
+		ip := netip.AddrFrom4([4]byte{127, byte(20 + os.Getpid()%200), byte(number), byte(host + 1)})
+		return netip.AddrPortFrom(ip, port)
+	}
+	platformAddr := addr(platformHost+100, peerPort)
+	server := &http.Server{Addr: platformAddr.String(), Handler: f.platform.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.ListenAndServe() }()
+	b.Cleanup(func() { _ = server.Close() })
+	f.client = store.New(platformAddr)
+	f.change()
+	for i := range count {
+		text := fmt.Sprintf("zone: %s\ncaller-listen: %s\nlocal-listen: %s\npeer-listen: %s\nplatform: %s\npeers: [%s, %s]\nsecrets: [0123456789abcdef]\n",
+			hostZones[i%3], addr(i, callerPort), addr(i, localPort), addr(i, peerPort), platformAddr, addr(0, peerPort), addr(1, peerPort))
+		file := filepath.Join(b.TempDir(), "node.yaml")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			b.Fatal(err)
+		}
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), nodeVariable+"="+file, "GOMAXPROCS=2")
+		if err := cmd.Start(); err != nil {
+			b.Fatal(err)
+		}
+		f.nodes = append(f.nodes, cmd)
+		f.locals = append(f.locals, addr(i, localPort))
+	}
+	b.Cleanup(f.stop)
+	for i := range count {
+		f.announce(addr(i, localPort), addr(i, targetPort))
+	}
+	return f
+}
+
+func (f *controlFleet) stop() {
+	for _, n := range f.nodes {
+		_ = n.Process.Kill()
+		_ = n.Wait()
+	}
+}
+
+func (f *controlFleet) change() {
+	f.b.Helper()
+	if _, err := admin.Put(context.Background(), f.client, "bench", fmt.Appendf(nil, settingsTree, false)); err != nil {
+		f.b.Fatal(err)
+	}
+}
+
+// announce tells a node of a target as soon as the node listens.
+func (f *controlFleet) announce(local, target netip.AddrPort) {
+	f.b.Helper()
+	body, _ := json.Marshal(map[string]any{
+		"service": mesh.ServiceName("ledger"), "addr": target, "slots": 16, "connections": 160, "incarnation": time.Now().UnixNano(),
+	})
+	for end := time.Now().Add(recoveryBound); time.Now().Before(end); time.Sleep(pollPause) {
+		request, err := http.NewRequest(http.MethodPut, "http://"+local.String()+"/quetzal/target", bytes.NewReader(body))
+		if err != nil {
+			f.b.Fatal(err)
+		}
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			response.Body.Close()
+			return
+		}
+	}
+	f.b.Fatalf("node %s does not listen after %v", local, recoveryBound)
+}
+
+func (f *controlFleet) usage() (sum usage) {
+	f.b.Helper()
+	for i, n := range f.nodes {
+		processor, resident := processUsage(f.b, n.Process.Pid)
+		sum.processor += processor
+		sum.resident += resident
+		sum.bytes += peerBytes(f.b, f.locals[i])
+	}
+	return sum
+}
+
+// processUsage reads the processor time and resident memory of a process.
+func processUsage(b *testing.B, pid int) (processor time.Duration, resident int64) {
+	b.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	return time.Duration(user+system) * clockTick, pages * int64(os.Getpagesize())
+}
+
+// peerBytes reads how many bytes a node has exchanged with its peers.
+func peerBytes(b *testing.B, local netip.AddrPort) (n int64) {
+	b.Helper()
+	response, err := http.Get("http://" + local.String() + "/debug/vars")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	var vars struct {
+		Node struct {
+			Sent     int64 `json:"peer-bytes-sent"`
+			Received int64 `json:"peer-bytes-received"`
+		} `json:"node"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&vars); err != nil {
+		b.Fatal(err)
+	}
+	return vars.Node.Sent + vars.Node.Received
+}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -42,6 +42,7 @@
 	front    *front
 	duties   []mesh.Duty
 	servers  []*server
+	bytes    peerBytes
 }
 
 // Option changes a node as it is made.
@@ -76,7 +77,8 @@
 // build makes the duties and joins them.
 func (n *Node) build(signer *wire.Signer) {
 	s, vars := n.settings, n.vars
-	control := &http.Client{Transport: &wire.Transport{Signer: signer, Base: newTransport(0)}}
+	n.bytes = newPeerBytes(vars)
+	control := &http.Client{Transport: &wire.Transport{Signer: signer, Base: n.bytes.controlTransport()}}
 	out := newSenders(vars, logs.For(n.logger, "sender"))
 	platform := newPlatformDuty(vars, n.platform)
 	hosts := newRosterDuty(vars, s, logs.For(n.logger, "roster"))
@@ -193,6 +195,9 @@
 	if err != nil {
 		return merry.Prependf(err, "listen for %s", s.name)
 	}
+	if s.addr == n.settings.PeerBind {
+		listener = meteredListener{Listener: listener, counts: n.bytes}
+	}
 	closed := make(chan struct{})
 	group.Add(func() error {
 		err := s.http.Serve(listener)
