gate: adaptive limit, strict classes and fair queue

Cause: the gate was a first-come queue with a fixed limit. A surge of unimportant requests held up important ones, one organisation could fill the queue, requests that could no longer finish were started, and a cold target got its full limit at once.

The limit now follows latency against its own floor, refusals and timeouts, capped by the announced slots. The queue serves strict classes, organisations by deficit round robin and, past the target delay, the newest request first. The order of waiting requests is an interface, mesh.Queue; the queue in order of arrival and the fixed limiter stay as the baseline.

A level that stands between whole classes was ruled out: refusing the class of which some requests still run would leave the target idle in turns. A class counts as refused only while none of its requests starts.

A caller that left in the moment of its start kept its place for good, since Gone only looked at the queue. It now frees the place.

--- /dev/null
+++ b/internal/mesh/gate/arrival.go
@@ -0,0 +1,70 @@
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// InOrder is a queue that serves requests in the order of their arrival and
+// turns new ones away when it is full. It is the baseline that other queues
+// are measured against.
+type InOrder struct {
+	length  int
+	waiting []mesh.Waiter
+}
+
+// NewInOrder returns an empty queue for length requests.
+func NewInOrder(length int) (q *InOrder) { return &InOrder{length: length} }
+
+// Push implements mesh.Queue.
+func (q *InOrder) Push(w mesh.Waiter) (displaced mesh.Waiter, full bool) {
+	if len(q.waiting) >= q.length {
+		return w, true
+	}
+	q.waiting = append(q.waiting, w)
+	return mesh.Waiter{}, false
+}
+
+// Pop implements mesh.Queue.
+func (q *InOrder) Pop(time.Time) (next mesh.Waiter, found bool) {
+	if len(q.waiting) == 0 {
+		return mesh.Waiter{}, false
+	}
+	next = q.waiting[0]
+	q.waiting = q.waiting[1:]
+	return next, true
+}
+
+// Remove implements mesh.Queue.
+func (q *InOrder) Remove(t mesh.Ticket) (found bool) {
+	i := slices.IndexFunc(q.waiting, func(w mesh.Waiter) bool { return w.Ticket == t })
+	if i < 0 {
+		return false
+	}
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	return true
+}
+
+// Each implements mesh.Queue.
+func (q *InOrder) Each(visit func(w mesh.Waiter) (more bool)) {
+	for _, w := range q.waiting {
+		if !visit(w) {
+			return
+		}
+	}
+}
+
+// Resize implements mesh.Queue.
+func (q *InOrder) Resize(length int) (displaced []mesh.Waiter) {
+	q.length = length
+	if len(q.waiting) > length {
+		displaced = slices.Clone(q.waiting[length:])
+		q.waiting = q.waiting[:length]
+	}
+	return displaced
+}
+
+// Len implements mesh.Queue.
+func (q *InOrder) Len() (n int) { return len(q.waiting) }
--- a/internal/mesh/gate/fixed.go
+++ b/internal/mesh/gate/fixed.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Fixed is a limiter that never moves. It is the baseline that adaptive
-// limiters are measured against.
+// Fixed is a limiter that does not react to what it observes. It is the
+// baseline that adaptive limiters are measured against.
 type Fixed struct{ limit int }
 
 // NewFixed returns a limiter of the given limit.
@@ -17,3 +17,6 @@
 
 // Restart implements mesh.Limiter.
 func (f *Fixed) Restart(time.Time) {}
+
+// Resize implements mesh.Limiter. The limit is the number of slots.
+func (f *Fixed) Resize(_, slots int) { f.limit = max(1, slots) }
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -8,8 +8,26 @@
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
+const (
+	// levelDelays is for how many target delays a refusal or a start counts
+	// in the level.
+	levelDelays = 10
+
+	// maxRetryAfter bounds what a refusal states, since a longer forecast
+	// from the queue is worthless.
+	maxRetryAfter = 5 * time.Second
+
+	// retrySpread is over how many parts the resends of refused requests are
+	// spread, so that they do not come back at one moment.
+	retrySpread = 8
+
+	// leastSweep is the shortest time between two searches of the queue for
+	// requests that ran out of time.
+	leastSweep = time.Millisecond
+)
+
 // Ticket names one request at a gate.
-type Ticket uint64
+type Ticket = mesh.Ticket
 
 // Arrival brings a request that wants to run.
 type Arrival struct {
@@ -28,9 +46,18 @@
 	// Overloaded is true when the target itself refused the request.
 	Overloaded bool
 
+	// TimedOut is true when the deadline passed while the request ran.
+	TimedOut bool
+
+	// Lost is true when the answer broke off, so its latency says nothing.
+	Lost bool
+
 	// NotRun is true when the request never reached the target, so its
 	// latency says nothing.
 	NotRun bool
+
+	// Unreachable is true when the target accepted no connection.
+	Unreachable bool
 }
 
 // EventName implements mesh.Event.
@@ -48,6 +75,33 @@
 // EventName implements mesh.Event.
 func (Elapsed) EventName() string { return "elapsed" }
 
+// Restarted says that the target announced a new incarnation.
+type Restarted struct{}
+
+// EventName implements mesh.Event.
+func (Restarted) EventName() string { return "restarted" }
+
+// Resized brings the settings and the slots that are now in force.
+type Resized struct {
+	Cold, Slots, QueueLength int
+}
+
+// EventName implements mesh.Event.
+func (Resized) EventName() string { return "resized" }
+
+// Closed says that the target takes no new work. Waiting requests are refused
+// and started ones finish.
+type Closed struct{ Refusal *mesh.Refusal }
+
+// EventName implements mesh.Event.
+func (Closed) EventName() string { return "closed" }
+
+// Opened says that the target takes work again.
+type Opened struct{}
+
+// EventName implements mesh.Event.
+func (Opened) EventName() string { return "opened" }
+
 // Action is something for the owner of the gate to do.
 type Action interface{ action() }
 
@@ -65,80 +119,304 @@
 
 // Gate admits requests to one target.
 type Gate struct {
-	limiter     mesh.Limiter
-	queueLength int
+	limiter mesh.Limiter
+	queue   mesh.Queue
+	typical typical
 
 	// running is at most the limit, except just after the limit fell.
-	running map[Ticket]struct{}
+	running map[Ticket]started
+
+	// life counts the restarts of the target.
+	life int
 
-	// queue holds at most queueLength requests.
-	queue []Arrival
+	// unreachable is when a connection was last refused, zero after a success.
+	unreachable time.Time
+
+	// closed is why no request is accepted, nil while the gate is open.
+	closed *mesh.Refusal
+
+	level levels
+
+	// dropAt is at most the earliest time at which a waiting request can no
+	// longer finish, and zero while none waits.
+	dropAt  time.Time
+	swept   time.Time
+	actions []Action
+}
+
+// started is a request that runs.
+type started struct {
+	call *mesh.Call
+	at   time.Time
+	life int
 }
 
 // Option changes a gate as it is made.
 type Option func(*Gate)
 
-// WithQueueLength sets how many requests may wait.
-func WithQueueLength(n int) Option { return func(g *Gate) { g.queueLength = n } }
+// WithQueue replaces the queue, which otherwise is fair and has the default
+// length and target delay.
+func WithQueue(q mesh.Queue) Option { return func(g *Gate) { g.queue = q } }
+
+// WithTargetDelay sets the wait above which a target counts as overloaded.
+func WithTargetDelay(d time.Duration) Option { return func(g *Gate) { g.SetTargetDelay(d) } }
+
+// Values of a gate that is made without options.
+const (
+	defaultLength = 256
+	defaultDelay  = 20 * time.Millisecond
+)
 
 // New returns a gate that runs as many requests as limiter allows.
 func New(limiter mesh.Limiter, options ...Option) (g *Gate) {
-	g = &Gate{limiter: limiter, queueLength: 256, running: make(map[Ticket]struct{})}
+	g = &Gate{
+		limiter: limiter,
+		queue:   NewFair(defaultLength, defaultDelay),
+		running: make(map[Ticket]started),
+		typical: make(typical),
+	}
+	g.level.delay = defaultDelay
 	for _, o := range options {
 		o(g)
 	}
 	return g
 }
 
-// Step takes in one event.
+// SetTargetDelay sets the wait above which a target counts as overloaded.
+func (g *Gate) SetTargetDelay(d time.Duration) {
+	g.level.delay = d
+	if q, fair := g.queue.(*Fair); fair {
+		q.SetTargetDelay(d)
+	}
+}
+
+// Step takes in one event. The actions are valid until the next call.
 func (g *Gate) Step(now time.Time, event mesh.Event) (actions []Action) {
+	g.actions = g.actions[:0]
 	switch e := event.(type) {
 	case Arrival:
-		if len(g.queue) >= g.queueLength {
-			return []Action{Refuse{Ticket: e.Ticket, Refusal: mesh.NotRun(header.Overloaded, "the queue of the target is full")}}
-		}
-		g.queue = append(g.queue, e)
+		g.arrive(now, e)
 	case Finished:
-		delete(g.running, e.Ticket)
-		if !e.NotRun {
-			g.limiter.Observe(now, e.Latency, len(g.running)+1, e.Overloaded)
-		}
+		g.finish(now, e)
 	case Gone:
-		g.remove(e.Ticket)
+		g.gone(e.Ticket)
+	case Elapsed:
+		g.sweep(now)
+	case Restarted:
+		g.restart(now)
+	case Resized:
+		g.resize(now, e)
+	case Closed:
+		g.closed = e.Refusal
+		g.clear()
+	case Opened:
+		g.closed = nil
 	}
-	return g.start(now)
+	g.start(now)
+	return g.actions
 }
 
-func (g *Gate) remove(ticket Ticket) {
-	for i, a := range g.queue {
-		if a.Ticket == ticket {
-			g.queue = append(g.queue[:i:i], g.queue[i+1:]...)
-			return
+func (g *Gate) refuse(t Ticket, refusal *mesh.Refusal) {
+	g.actions = append(g.actions, Refuse{Ticket: t, Refusal: refusal})
+}
+
+func (g *Gate) arrive(now time.Time, a Arrival) {
+	if g.closed != nil {
+		g.refuse(a.Ticket, g.closed)
+		return
+	}
+	if !g.canFinish(now, a.Call) {
+		g.refuse(a.Ticket, tooLate())
+		return
+	}
+	if g.queue.Len() == 0 && len(g.running) < g.limiter.Limit() {
+		g.run(now, a.Ticket, a.Call)
+		return
+	}
+	displaced, full := g.queue.Push(mesh.Waiter{Ticket: a.Ticket, Call: a.Call, Since: now})
+	if full {
+		g.shed(now, displaced)
+	}
+	g.expect(a.Call)
+}
+
+// canFinish reports whether a request that starts now can end in time.
+func (g *Gate) canFinish(now time.Time, call *mesh.Call) bool {
+	left := call.Remaining(now)
+	return left > 0 && left >= g.typical.of(now, call.Route.Name)
+}
+
+func tooLate() (refusal *mesh.Refusal) {
+	return mesh.NotRun(header.DeadlineExceeded, "the remaining time is shorter than the target usually needs")
+}
+
+// shed refuses a request for want of room.
+func (g *Gate) shed(now time.Time, w mesh.Waiter) {
+	g.level.refused(now, classOf(w.Call))
+	refusal := mesh.NotRun(header.Overloaded, "the target is overloaded")
+	refusal.Level = g.Level(now)
+	refusal.RetryAfter = g.retryAfter(now, w)
+	g.refuse(w.Ticket, refusal)
+}
+
+// retryAfter returns about how long the target needs for what is ahead.
+func (g *Gate) retryAfter(now time.Time, w mesh.Waiter) (after time.Duration) {
+	ahead := time.Duration(g.queue.Len() + len(g.running))
+	after = max(g.level.delay, ahead*g.typical.of(now, w.Call.Route.Name)/time.Duration(g.limiter.Limit()))
+	after += after * time.Duration(w.Ticket%retrySpread) / retrySpread
+	return min(after, maxRetryAfter)
+}
+
+func (g *Gate) run(now time.Time, t Ticket, call *mesh.Call) {
+	g.running[t] = started{call: call, at: now, life: g.life}
+	g.level.started(now, classOf(call))
+	g.actions = append(g.actions, Start{Ticket: t})
+}
+
+func (g *Gate) finish(now time.Time, f Finished) {
+	s, found := g.running[f.Ticket]
+	if !found {
+		return
+	}
+	inFlight := len(g.running)
+	delete(g.running, f.Ticket)
+	switch {
+	case f.Unreachable:
+		if g.unreachable.IsZero() {
+			g.restart(now)
+		}
+		g.unreachable = now
+	case s.life != g.life, f.Lost:
+	case f.Overloaded:
+		g.limiter.Observe(now, f.Latency, inFlight, true)
+	case f.NotRun:
+	default:
+		g.observe(now, s, f, inFlight)
+	}
+}
+
+// observe takes in the latency of a request that ran.
+func (g *Gate) observe(now time.Time, s started, f Finished, inFlight int) {
+	if !g.unreachable.IsZero() && !f.TimedOut && !s.at.Before(g.unreachable) {
+		// The target accepts connections again, so it has been restarted.
+		g.unreachable = time.Time{}
+		g.restart(now)
+	}
+	name := s.call.Route.Name
+	usual := g.typical.of(now, name)
+	// A caller that asks for less time than a request takes says nothing
+	// about the target.
+	overloaded := f.TimedOut && float64(f.Latency) > tolerance*float64(usual)
+	if f.TimedOut && !overloaded {
+		return
+	}
+	g.typical.add(now, name, f.Latency)
+	g.limiter.Observe(now, f.Latency, inFlight, overloaded)
+}
+
+// restart puts the limit to the cold limit. Requests that still run belong to
+// the earlier life of the target and teach nothing.
+func (g *Gate) restart(now time.Time) {
+	g.life++
+	g.limiter.Restart(now)
+}
+
+// gone forgets a request whose caller left. A start that the caller did not
+// see any more must not hold its place.
+func (g *Gate) gone(t Ticket) {
+	if !g.queue.Remove(t) {
+		delete(g.running, t)
+	}
+}
+
+func (g *Gate) resize(now time.Time, r Resized) {
+	g.limiter.Resize(r.Cold, r.Slots)
+	for _, w := range g.queue.Resize(r.QueueLength) {
+		g.shed(now, w)
+	}
+}
+
+// clear refuses every waiting request.
+func (g *Gate) clear() {
+	var all []Ticket
+	g.queue.Each(func(w mesh.Waiter) bool {
+		all = append(all, w.Ticket)
+		return true
+	})
+	for _, t := range all {
+		g.queue.Remove(t)
+		g.refuse(t, g.closed)
+	}
+}
+
+// expect notes when a request that waits can no longer finish.
+func (g *Gate) expect(call *mesh.Call) {
+	at := g.dropTime(call)
+	if g.dropAt.IsZero() || at.Before(g.dropAt) {
+		g.dropAt = at
+	}
+}
+
+func (g *Gate) dropTime(call *mesh.Call) (at time.Time) {
+	return call.Deadline.Add(-g.typical.last(call.Route.Name))
+}
+
+// sweep drops waiting requests that can no longer finish.
+func (g *Gate) sweep(now time.Time) {
+	var late []Ticket
+	g.dropAt, g.swept = time.Time{}, now
+	g.queue.Each(func(w mesh.Waiter) bool {
+		if !g.canFinish(now, w.Call) {
+			late = append(late, w.Ticket)
+		} else {
+			g.expect(w.Call)
 		}
+		return true
+	})
+	for _, t := range late {
+		g.queue.Remove(t)
+		g.refuse(t, tooLate())
 	}
 }
 
-func (g *Gate) start(now time.Time) (actions []Action) {
-	for len(g.queue) > 0 && len(g.running) < g.limiter.Limit() {
-		next := g.queue[0]
-		g.queue = g.queue[1:]
-		if next.Call.Remaining(now) <= 0 {
-			actions = append(actions, Refuse{Ticket: next.Ticket, Refusal: mesh.NotRun(header.DeadlineExceeded, "the deadline passed in the queue of the target")})
+func (g *Gate) start(now time.Time) {
+	for len(g.running) < g.limiter.Limit() {
+		next, found := g.queue.Pop(now)
+		if !found {
+			return
+		}
+		if !g.canFinish(now, next.Call) {
+			g.refuse(next.Ticket, tooLate())
 			continue
 		}
-		g.running[next.Ticket] = struct{}{}
-		actions = append(actions, Start{Ticket: next.Ticket})
+		g.run(now, next.Ticket, next.Call)
 	}
-	return actions
 }
 
 // Next returns when the gate wants an Elapsed event; zero means not.
-func (g *Gate) Next() (at time.Time) { return time.Time{} }
+func (g *Gate) Next() (at time.Time) {
+	if g.queue.Len() == 0 {
+		return time.Time{}
+	}
+	if earliest := g.swept.Add(leastSweep); g.dropAt.Before(earliest) {
+		return earliest
+	}
+	return g.dropAt
+}
 
 // Level returns the least important class that the gate accepts now.
-func (g *Gate) Level() (class mesh.Class) { return mesh.ClassLow }
+func (g *Gate) Level(now time.Time) (class mesh.Class) { return g.level.at(now) }
 
 // Load returns the used part of the limit, in thousandths.
 func (g *Gate) Load() (load int) {
-	return 1000 * (len(g.running) + len(g.queue)) / g.limiter.Limit()
+	return 1000 * (len(g.running) + g.queue.Len()) / g.limiter.Limit()
 }
+
+// Limit returns how many requests may run now.
+func (g *Gate) Limit() (n int) { return g.limiter.Limit() }
+
+// InFlight returns how many requests run.
+func (g *Gate) InFlight() (n int) { return len(g.running) }
+
+// Queued returns how many requests wait.
+func (g *Gate) Queued() (n int) { return g.queue.Len() }
--- /dev/null
+++ b/internal/mesh/gate/gate_test.go
@@ -0,0 +1,335 @@
+package gate
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+const (
+	testCold  = 2
+	testSlots = 12
+	testWork  = 10 * time.Millisecond
+)
+
+var testStart = time.Unix(1_000_000, 0)
+
+// TestMain fixes the seed, and lets a history be long enough for a limit to
+// grow before a restart.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.steps": "100", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func testCall(class mesh.Class, organisation string, deadline time.Time) (call *mesh.Call) {
+	return &mesh.Call{
+		Route:        &mesh.Route{Service: "ledger", Name: "book", Class: class},
+		Organisation: mesh.OrganisationName(organisation),
+		Weight:       1,
+		Deadline:     deadline,
+	}
+}
+
+// model follows a gate from outside and checks what it does.
+type model struct {
+	*rapid.T
+	now     time.Time
+	gate    *Gate
+	next    Ticket
+	waiting map[Ticket]*mesh.Call
+	running map[Ticket]bool
+
+	// proofs counts the requests that started and ran since the last restart.
+	proofs  int
+	started map[Ticket]bool
+	ended   time.Time
+}
+
+func (m *model) step(e mesh.Event) {
+	for _, a := range m.gate.Step(m.now, e) {
+		switch a := a.(type) {
+		case Start:
+			m.start(a.Ticket)
+		case Refuse:
+			m.refuse(a)
+		}
+	}
+	if m.proofs < leastSamples && m.gate.Limit() > testCold {
+		m.Fatalf("limit %d after %d requests of a cold target, want at most %d", m.gate.Limit(), m.proofs, testCold)
+	}
+	if n := m.gate.Queued(); n != len(m.waiting) {
+		m.Fatalf("got %d queued, want %d: a ticket got no answer", n, len(m.waiting))
+	}
+}
+
+func (m *model) take(t Ticket) (call *mesh.Call) {
+	call, found := m.waiting[t]
+	if !found {
+		m.Fatalf("ticket %d got a second answer", t)
+	}
+	delete(m.waiting, t)
+	return call
+}
+
+func (m *model) start(t Ticket) {
+	call := m.take(t)
+	m.running[t], m.started[t] = true, true
+	if len(m.running) > m.gate.Limit() {
+		m.Fatalf("%d run after a start, want at most %d", len(m.running), m.gate.Limit())
+	}
+	if left := call.Remaining(m.now); left <= 0 || left < testWork && m.now.Sub(m.ended) < halfLife {
+		m.Fatalf("a request started with %v left", left)
+	}
+	for _, c := range m.waiting {
+		if c.Route.Class < call.Route.Class && c.Remaining(m.now) >= testWork {
+			m.Fatalf("class %v started while class %v waits", call.Route.Class, c.Route.Class)
+		}
+	}
+}
+
+func (m *model) refuse(a Refuse) {
+	m.take(a.Ticket)
+	r := a.Refusal
+	if r.Outcome != header.NotRun || r.Code == header.Overloaded && (r.RetryAfter <= 0 || r.Level > mesh.ClassLow) {
+		m.Fatalf("got refusal %+v, want not-run, with a level and a retry time", r)
+	}
+}
+
+func (m *model) arrive() {
+	left := time.Duration(rapid.IntRange(0, 60).Draw(m.T, "left")) * time.Millisecond
+	m.bring(testCall(mesh.Class(rapid.IntRange(0, 3).Draw(m.T, "class")), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(m.T, "org"), m.now.Add(left)))
+}
+
+func (m *model) bring(call *mesh.Call) {
+	m.next++
+	m.waiting[m.next] = call
+	m.step(Arrival{Ticket: m.next, Call: call})
+}
+
+// busy runs as much as the limit allows, which lets the limit grow.
+func (m *model) busy() {
+	for range m.gate.Limit() {
+		m.bring(testCall(mesh.ClassCritical, "a", m.now.Add(time.Second)))
+	}
+	m.now = m.now.Add(2 * testWork)
+	for _, t := range m.tickets() {
+		m.end(Finished{Ticket: t, Latency: testWork})
+	}
+}
+
+// finish ends one running request. All that run take the same time, so the
+// model knows the typical service time.
+func (m *model) finish() {
+	if len(m.running) == 0 {
+		return
+	}
+	f := Finished{Ticket: rapid.SampledFrom(m.tickets()).Draw(m.T, "finished"), Latency: testWork}
+	f.Overloaded = rapid.IntRange(0, 9).Draw(m.T, "refused") == 0
+	f.NotRun = f.Overloaded || rapid.IntRange(0, 9).Draw(m.T, "not-run") == 0
+	m.end(f)
+}
+
+// tickets returns those that run, in a fixed order.
+func (m *model) tickets() (tickets []Ticket) {
+	for t := range m.running {
+		tickets = append(tickets, t)
+	}
+	slices.Sort(tickets)
+	return tickets
+}
+
+func (m *model) end(f Finished) {
+	delete(m.running, f.Ticket)
+	if m.started[f.Ticket] && !f.NotRun {
+		m.proofs++
+		m.ended = m.now
+	}
+	m.step(f)
+}
+
+func (m *model) restart() {
+	m.proofs = 0
+	clear(m.started)
+	m.step(Restarted{})
+}
+
+func (m *model) gone() {
+	if m.next == 0 {
+		return
+	}
+	t := Ticket(rapid.Uint64Range(1, uint64(m.next)).Draw(m.T, "gone"))
+	delete(m.waiting, t)
+	delete(m.running, t)
+	m.step(Gone{Ticket: t})
+}
+
+// TestGateKeepsItsPromises guards against a gate that runs more than its
+// limit, starts a less important request first, starts what cannot finish,
+// loads a cold target or answers a ticket twice or never.
+func TestGateKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		m := &model{
+			T: r, now: testStart, waiting: make(map[Ticket]*mesh.Call),
+			running: make(map[Ticket]bool), started: make(map[Ticket]bool),
+			gate: New(NewAdaptive(testCold, testSlots), WithQueue(NewFair(8, 20*time.Millisecond))),
+		}
+		r.Repeat(map[string]func(*rapid.T){
+			"arrive":  func(*rapid.T) { m.arrive() },
+			"arrive2": func(*rapid.T) { m.arrive() },
+			"finish":  func(*rapid.T) { m.finish() },
+			"finish2": func(*rapid.T) { m.finish() },
+			"busy":    func(*rapid.T) { m.busy() },
+			"gone":    func(*rapid.T) { m.gone() },
+			"restart": func(*rapid.T) {
+				if rapid.IntRange(0, 9).Draw(r, "really") == 0 {
+					m.restart()
+				}
+			},
+			"resize": func(*rapid.T) {
+				m.step(Resized{Cold: testCold, Slots: rapid.IntRange(1, testSlots).Draw(r, "slots"), QueueLength: rapid.IntRange(0, 8).Draw(r, "length")})
+			},
+			"wait": func(*rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(r, "ms")) * time.Millisecond)
+				m.step(Elapsed{})
+			},
+		})
+		m.step(Closed{Refusal: mesh.NotRun(header.TargetDraining, "the target is draining")})
+		if len(m.waiting) != 0 {
+			r.Fatalf("%d tickets got no answer", len(m.waiting))
+		}
+	})
+}
+
+// TestNoOrganisationStarves guards against an organisation that gets less
+// than its weight's part, less one turn, while it always has requests waiting.
+func TestNoOrganisationStarves(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 6).Draw(r, "weights")
+		greed := rapid.SliceOfN(rapid.IntRange(1, 9), len(weights), len(weights)).Draw(r, "greed")
+		q := NewFair(40, 20*time.Millisecond)
+		served := make([]int, len(weights))
+		ticket, sum := Ticket(0), 0
+		for _, w := range weights {
+			sum += w
+		}
+		const rounds = 20
+		for pop := range rounds * sum {
+			now := testStart.Add(time.Duration(pop) * time.Millisecond)
+			for i, w := range weights {
+				for range greed[i] * w {
+					ticket++
+					call := testCall(mesh.ClassNormal, fmt.Sprint(i), now.Add(time.Second))
+					call.Weight = w
+					q.Push(mesh.Waiter{Ticket: ticket, Call: call, Since: now})
+				}
+			}
+			next, _ := q.Pop(now)
+			served[slices.Index([]mesh.OrganisationName{"0", "1", "2", "3", "4", "5"}, next.Call.Organisation)]++
+		}
+		for i, w := range weights {
+			if got, want := served[i], (rounds-2)*w; got < want {
+				r.Fatalf("organisation %d of weights %v got %d, want at least %d", i, weights, got, want)
+			}
+		}
+	})
+}
+
+// run takes events through a gate and returns its actions as text.
+func run(g *Gate, now time.Time, events ...mesh.Event) (text string) {
+	for _, e := range events {
+		for _, a := range g.Step(now, e) {
+			switch a := a.(type) {
+			case Start:
+				text += fmt.Sprintf("+%d ", a.Ticket)
+			case Refuse:
+				text += fmt.Sprintf("-%d:%s ", a.Ticket, a.Refusal.Code)
+			}
+		}
+	}
+	return text
+}
+
+// TestGateOrder guards against a wrong order or reason at a gate that runs one
+// request at a time and lets two wait.
+func TestGateOrder(t *testing.T) {
+	late, soon := testStart.Add(time.Minute), testStart.Add(50*time.Millisecond)
+	arrive := func(t Ticket, class mesh.Class, org string, deadline time.Time) Arrival {
+		return Arrival{Ticket: t, Call: testCall(class, org, deadline)}
+	}
+	done := func(t Ticket) Finished { return Finished{Ticket: t, Latency: testWork} }
+	draining := Closed{Refusal: mesh.NotRun(header.TargetDraining, "")}
+	first, second, third := arrive(1, 2, "a", late), arrive(2, 2, "a", late), arrive(3, 2, "a", late)
+	for _, c := range []struct {
+		name   string
+		events []mesh.Event
+		later  time.Duration
+		then   []mesh.Event
+		want   string
+	}{
+		{"oldest first", []mesh.Event{first, second, third}, 0, []mesh.Event{done(1)}, "+1 +2 "},
+		{"newest first once late", []mesh.Event{first, second, third}, time.Second, []mesh.Event{done(1)}, "+1 +3 "},
+		{"important first", []mesh.Event{first, second, arrive(3, 0, "a", late)}, 0, []mesh.Event{done(1)}, "+1 +3 "},
+		{"important displaces", []mesh.Event{first, second, third, arrive(4, 0, "a", late)}, 0, nil, "+1 -2:overloaded "},
+		{"least important is refused", []mesh.Event{first, second, third, arrive(4, 3, "a", late)}, 0, nil, "+1 -4:overloaded "},
+		{"other organisation displaces", []mesh.Event{first, second, third, arrive(4, 2, "b", late)}, 0, nil, "+1 -2:overloaded "},
+		{"late is dropped", []mesh.Event{first, arrive(2, 2, "a", soon)}, time.Second, []mesh.Event{Elapsed{}}, "+1 -2:deadline-exceeded "},
+		{"too late is refused at once", []mesh.Event{first, done(1), arrive(2, 2, "a", testStart.Add(testWork/2))}, 0, nil, "+1 -2:deadline-exceeded "},
+		{"draining refuses the queue", []mesh.Event{first, second}, 0, []mesh.Event{draining, third, done(1)}, "+1 -2:target-draining -3:target-draining "},
+		{"unseen start frees its place", []mesh.Event{first, second}, 0, []mesh.Event{Gone{Ticket: 1}}, "+1 +2 "},
+		{"shrunk queue", []mesh.Event{first, second, third}, 0, []mesh.Event{Resized{Cold: 1, Slots: 1, QueueLength: 1}}, "+1 -2:overloaded "},
+	} {
+		g := New(NewFixed(1), WithQueue(NewFair(2, 20*time.Millisecond)))
+		got := run(g, testStart, c.events...) + run(g, testStart.Add(c.later), c.then...)
+		if got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// TestTypicalTimeFades guards against a slow period that refuses every
+// request for good, because none runs to show that it is over.
+func TestTypicalTimeFades(t *testing.T) {
+	g := New(NewFixed(1))
+	run(g, testStart, Arrival{Ticket: 1, Call: testCall(2, "a", testStart.Add(time.Minute))}, Finished{Ticket: 1, Latency: time.Second})
+	for _, c := range []struct {
+		later time.Duration
+		want  string
+	}{{0, "-2:deadline-exceeded "}, {5 * time.Second, "+2 "}} {
+		now := testStart.Add(c.later)
+		if got := run(g, now, Arrival{Ticket: 2, Call: testCall(2, "a", now.Add(50*time.Millisecond))}); got != c.want {
+			t.Errorf("after %v: got %q, want %q", c.later, got, c.want)
+		}
+	}
+}
+
+// TestLevel guards against a level that refuses a class of which some still
+// run, or that stays after the overload.
+func TestLevel(t *testing.T) {
+	g := New(NewFixed(1), WithQueue(NewFair(1, 20*time.Millisecond)))
+	late := testStart.Add(time.Minute)
+	run(g, testStart,
+		Arrival{Ticket: 1, Call: testCall(1, "a", late)}, Arrival{Ticket: 2, Call: testCall(1, "a", late)},
+		Arrival{Ticket: 3, Call: testCall(2, "a", late)},
+	)
+	for _, c := range []struct {
+		later time.Duration
+		want  mesh.Class
+	}{{0, mesh.ClassHigh}, {levelDelays*defaultDelay + 1, mesh.ClassLow}} {
+		if got := g.Level(testStart.Add(c.later)); got != c.want {
+			t.Errorf("after %v: got %v, want %v", c.later, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/gate/queue.go
@@ -0,0 +1,224 @@
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// Fair is a queue of strict classes. Inside a class it serves organisations by
+// deficit round robin, and inside an organisation the newest request first
+// while the oldest has waited longer than the target delay.
+type Fair struct {
+	length      int
+	targetDelay time.Duration
+	classes     [mesh.ClassCount]classLine
+	entries     map[mesh.Ticket]*entry
+	unused      *entry
+}
+
+// classLine holds the organisations of one class that have requests waiting.
+type classLine struct {
+	// lines has no empty line. The organisation whose turn it is stands at
+	// turn.
+	lines []*orgLine
+	turn  int
+}
+
+// orgLine holds the waiting requests of one organisation, oldest first.
+type orgLine struct {
+	organisation mesh.OrganisationName
+	class        mesh.Class
+	weight       int
+
+	// deficit is how many more requests run in this turn, at most weight.
+	deficit int
+
+	oldest, newest *entry
+	count          int
+}
+
+type entry struct {
+	mesh.Waiter
+	line         *orgLine
+	older, newer *entry
+}
+
+// NewFair returns an empty queue for length requests.
+func NewFair(length int, targetDelay time.Duration) (q *Fair) {
+	return &Fair{length: length, targetDelay: targetDelay, entries: make(map[mesh.Ticket]*entry)}
+}
+
+// SetTargetDelay sets from which wait on the newest request goes first.
+func (q *Fair) SetTargetDelay(d time.Duration) { q.targetDelay = d }
+
+// Len implements mesh.Queue.
+func (q *Fair) Len() (n int) { return len(q.entries) }
+
+// Push implements mesh.Queue. A full queue drops from the least important
+// class the oldest request of the organisation that has most waiting for its
+// weight, so that one organisation cannot keep the others out.
+func (q *Fair) Push(w mesh.Waiter) (displaced mesh.Waiter, full bool) {
+	q.add(w)
+	if len(q.entries) <= q.length {
+		return mesh.Waiter{}, false
+	}
+	return q.displace(), true
+}
+
+func (q *Fair) add(w mesh.Waiter) {
+	line := q.classes[classOf(w.Call)].line(w.Call)
+	e := q.unused
+	if e == nil {
+		e = new(entry)
+	} else {
+		q.unused = e.newer
+	}
+	*e = entry{Waiter: w, line: line, older: line.newest}
+	if line.newest != nil {
+		line.newest.newer = e
+	} else {
+		line.oldest = e
+	}
+	line.newest = e
+	line.count++
+	q.entries[w.Ticket] = e
+}
+
+func classOf(call *mesh.Call) (class mesh.Class) {
+	return min(call.Route.Class, mesh.ClassLow)
+}
+
+// line returns the line of the call's organisation. A new one joins as the
+// last of the round.
+func (c *classLine) line(call *mesh.Call) (line *orgLine) {
+	weight := max(1, call.Weight)
+	for _, l := range c.lines {
+		if l.organisation == call.Organisation {
+			l.weight = weight
+			l.deficit = min(l.deficit, weight)
+			return l
+		}
+	}
+	line = &orgLine{organisation: call.Organisation, class: classOf(call), weight: weight}
+	c.lines = slices.Insert(c.lines, c.turn, line)
+	if len(c.lines) > 1 {
+		c.turn++
+	}
+	return line
+}
+
+func (q *Fair) displace() (w mesh.Waiter) {
+	for i := len(q.classes) - 1; i >= 0; i-- {
+		c := &q.classes[i]
+		if len(c.lines) > 0 {
+			return q.take(c.longest().oldest)
+		}
+	}
+	return w
+}
+
+// longest returns the line that has most waiting for its weight.
+func (c *classLine) longest() (line *orgLine) {
+	for _, l := range c.lines {
+		if line == nil || l.count*line.weight > line.count*l.weight {
+			line = l
+		}
+	}
+	return line
+}
+
+// take removes an entry, and its line when that is empty.
+func (q *Fair) take(e *entry) (w mesh.Waiter) {
+	w = e.Waiter
+	l := e.line
+	if e.older != nil {
+		e.older.newer = e.newer
+	} else {
+		l.oldest = e.newer
+	}
+	if e.newer != nil {
+		e.newer.older = e.older
+	} else {
+		l.newest = e.older
+	}
+	l.count--
+	if l.count == 0 {
+		q.classes[l.class].drop(l)
+	}
+	delete(q.entries, w.Ticket)
+	*e = entry{newer: q.unused}
+	q.unused = e
+	return w
+}
+
+func (c *classLine) drop(line *orgLine) {
+	i := slices.Index(c.lines, line)
+	c.lines = slices.Delete(c.lines, i, i+1)
+	if i < c.turn {
+		c.turn--
+	}
+	if c.turn >= len(c.lines) {
+		c.turn = 0
+	}
+}
+
+// Pop implements mesh.Queue.
+func (q *Fair) Pop(now time.Time) (next mesh.Waiter, found bool) {
+	for i := range q.classes {
+		c := &q.classes[i]
+		if len(c.lines) == 0 {
+			continue
+		}
+		line := c.lines[c.turn]
+		if line.deficit == 0 {
+			line.deficit = line.weight
+		}
+		line.deficit--
+		if line.deficit == 0 {
+			c.turn = (c.turn + 1) % len(c.lines)
+		}
+		return q.take(q.choose(now, line)), true
+	}
+	return mesh.Waiter{}, false
+}
+
+func (q *Fair) choose(now time.Time, line *orgLine) (e *entry) {
+	if now.Sub(line.oldest.Since) > q.targetDelay {
+		return line.newest
+	}
+	return line.oldest
+}
+
+// Remove implements mesh.Queue.
+func (q *Fair) Remove(t mesh.Ticket) (found bool) {
+	e, found := q.entries[t]
+	if found {
+		q.take(e)
+	}
+	return found
+}
+
+// Each implements mesh.Queue. Requests come in the order of classes, so that
+// equal histories give equal orders.
+func (q *Fair) Each(visit func(w mesh.Waiter) (more bool)) {
+	for i := range q.classes {
+		for _, l := range q.classes[i].lines {
+			for e := l.oldest; e != nil; e = e.newer {
+				if !visit(e.Waiter) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Resize implements mesh.Queue.
+func (q *Fair) Resize(length int) (displaced []mesh.Waiter) {
+	q.length = length
+	for len(q.entries) > length {
+		displaced = append(displaced, q.displace())
+	}
+	return displaced
+}
--- a/internal/mesh/node/gate.go
+++ b/internal/mesh/node/gate.go
@@ -11,15 +11,27 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh/gate"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/tree"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
-const gateRing = 4096
+const (
+	gateRing = 4096
+
+	// settingsInterval is how often a gate with waiting requests looks for new
+	// settings when no event comes.
+	settingsInterval = time.Second
+)
 
 // gateDuty owns the gates of all targets of this host. Full ring: the request
 // is refused; ends of requests wait.
 type gateDuty struct {
-	events  *ring.Ring
+	events *ring.Ring
+	config *configDuty
+	vars   *expvar.Map
+
+	// version is that of the settings which the gates follow.
+	version uint64
 	targets map[netip.AddrPort]*gatedTarget
 	tickets atomic.Uint64
 	log     logs.Log
@@ -29,13 +41,22 @@
 type gatedTarget struct {
 	target mesh.Target
 	gate   *gate.Gate
+	vars   targetVars
 
 	// waiting holds the reply rings of queued requests.
 	waiting map[gate.Ticket]ring.Reply
 }
 
-func newGateDuty(vars *expvar.Map, log logs.Log) (d *gateDuty) {
-	return &gateDuty{events: ring.New(vars, "gate", gateRing), targets: make(map[netip.AddrPort]*gatedTarget), log: log}
+func newGateDuty(vars *expvar.Map, config *configDuty, log logs.Log) (d *gateDuty) {
+	d = &gateDuty{
+		events:  ring.New(vars, "gate", gateRing),
+		config:  config,
+		vars:    new(expvar.Map),
+		targets: make(map[netip.AddrPort]*gatedTarget),
+		log:     log,
+	}
+	vars.Set("targets", d.vars)
+	return d
 }
 
 // Name implements mesh.Duty.
@@ -127,58 +148,132 @@
 }
 
 func (d *gateDuty) handle(now time.Time, e mesh.Event) {
+	d.follow(now)
 	switch e := e.(type) {
 	case openGate:
-		d.open(e.target)
+		d.open(now, e.target)
 	case gateEvent:
 		d.step(now, e)
 	}
 }
 
-func (d *gateDuty) open(t mesh.Target) {
-	g, found := d.targets[t.Addr]
-	if !found {
-		d.targets[t.Addr] = &gatedTarget{
-			target:  t,
-			gate:    gate.New(gate.NewFixed(t.Slots)),
-			waiting: make(map[gate.Ticket]ring.Reply),
+// follow puts new settings in force.
+func (d *gateDuty) follow(now time.Time) {
+	view := d.config.View()
+	if view == nil || view.Version == d.version {
+		return
+	}
+	d.version = view.Version
+	for _, g := range d.targets {
+		d.configure(now, g, view.Index)
+	}
+}
+
+// configure gives a gate the settings of its service and the state of its
+// target. Without settings a target runs with the defaults of the tree.
+func (d *gateDuty) configure(now time.Time, g *gatedTarget, index *tree.Index) {
+	settings := defaultTarget()
+	if index != nil {
+		if own, found := index.Target(g.target.Service); found {
+			settings = own
 		}
-		d.log.Infof("target %s of service %s is known, %d slots.", t.Addr, t.Service, t.Slots)
+	}
+	g.gate.SetTargetDelay(settings.TargetDelay)
+	g.step(now, gate.Resized{Cold: settings.ColdLimit, Slots: g.target.Slots, QueueLength: settings.QueueLength})
+	switch {
+	case g.target.Draining:
+		g.step(now, gate.Closed{Refusal: mesh.NotRun(header.TargetDraining, "the target is draining")})
+	case index != nil && index.Zone.Out:
+		g.step(now, gate.Closed{Refusal: zoneOut(index.Zone.Name)})
+	default:
+		g.step(now, gate.Opened{})
+	}
+}
+
+func zoneOut(name mesh.ZoneName) (refusal *mesh.Refusal) {
+	return mesh.NotRun(header.ZoneOut, "availability zone %q has been taken out", name)
+}
+
+func defaultTarget() (t tree.Target) {
+	s := tree.Defaults()
+	return tree.Target{ColdLimit: *s.ColdLimit, TargetDelay: *s.TargetDelay, QueueLength: *s.QueueLength}
+}
+
+// open takes in an announcement. One of an earlier incarnation came late and
+// is dropped.
+func (d *gateDuty) open(now time.Time, t mesh.Target) {
+	g, found := d.targets[t.Addr]
+	switch {
+	case !found:
+		g = d.newTarget(t)
+	case t.Incarnation < g.target.Incarnation, t == g.target:
 		return
+	case t.Incarnation > g.target.Incarnation || t.Service != g.target.Service:
+		d.log.Infof("target %s of service %s has started anew.", t.Addr, t.Service)
+		g.target = t
+		g.step(now, gate.Restarted{})
 	}
 	g.target = t
+	var index *tree.Index
+	if view := d.config.View(); view != nil {
+		index = view.Index
+	}
+	d.configure(now, g, index)
+}
+
+func (d *gateDuty) newTarget(t mesh.Target) (g *gatedTarget) {
+	settings := defaultTarget()
+	if view := d.config.View(); view != nil {
+		if own, found := view.Index.Target(t.Service); found {
+			settings = own
+		}
+	}
+	g = &gatedTarget{
+		target: t,
+		gate: gate.New(
+			gate.NewAdaptive(settings.ColdLimit, t.Slots),
+			gate.WithQueue(gate.NewFair(settings.QueueLength, settings.TargetDelay)),
+			gate.WithTargetDelay(settings.TargetDelay),
+		),
+		vars:    newTargetVars(d.vars, t.Addr),
+		waiting: make(map[gate.Ticket]ring.Reply),
+	}
+	d.targets[t.Addr] = g
+	d.log.Infof("target %s of service %s is known, %d slots.", t.Addr, t.Service, t.Slots)
+	return g
 }
 
 func (d *gateDuty) step(now time.Time, e gateEvent) {
 	g, found := d.targets[e.target]
-	if !found {
-		if _, arrives := e.event.(gate.Arrival); arrives {
-			e.reply.Answer(gateAnswer{refusal: mesh.NotRun(header.NoTarget, "no target at %s has announced itself here", e.target)})
-		}
+	a, arrives := e.event.(gate.Arrival)
+	switch {
+	case !found && arrives:
+		e.reply.Answer(gateAnswer{refusal: mesh.NotRun(header.NoTarget, "no target at %s has announced itself here", e.target)})
 		return
-	}
-	if a, arrives := e.event.(gate.Arrival); arrives {
-		if g.target.Draining {
-			e.reply.Answer(gateAnswer{refusal: mesh.NotRun(header.TargetDraining, "the target is draining")})
-			return
-		}
+	case !found:
+		return
+	case arrives:
 		g.waiting[a.Ticket] = e.reply
 	}
-	g.apply(g.gate.Step(now, e.event))
+	g.step(now, e.event)
 	if gone, isGone := e.event.(gate.Gone); isGone {
 		delete(g.waiting, gone.Ticket)
 	}
 }
 
-func (g *gatedTarget) apply(actions []gate.Action) {
-	for _, a := range actions {
+// step takes an event to the gate, answers the requests that it decides on and
+// publishes its state.
+func (g *gatedTarget) step(now time.Time, e mesh.Event) {
+	for _, a := range g.gate.Step(now, e) {
 		switch a := a.(type) {
 		case gate.Start:
-			g.answer(a.Ticket, gateAnswer{level: g.gate.Level(), load: g.gate.Load()})
+			g.answer(a.Ticket, gateAnswer{level: g.gate.Level(now), load: g.gate.Load()})
 		case gate.Refuse:
-			g.answer(a.Ticket, gateAnswer{refusal: a.Refusal, level: g.gate.Level(), load: g.gate.Load()})
+			g.vars.refused.Add(string(a.Refusal.Code), 1)
+			g.answer(a.Ticket, gateAnswer{refusal: a.Refusal, level: g.gate.Level(now), load: g.gate.Load()})
 		}
 	}
+	g.vars.show(now, g.gate)
 }
 
 func (g *gatedTarget) answer(ticket gate.Ticket, answer gateAnswer) {
@@ -187,19 +282,24 @@
 }
 
 func (d *gateDuty) elapsed(now time.Time) {
+	d.follow(now)
 	for _, g := range d.targets {
 		if at := g.gate.Next(); !at.IsZero() && !at.After(now) {
-			g.apply(g.gate.Step(now, gate.Elapsed{}))
+			g.step(now, gate.Elapsed{})
 		}
 	}
 }
 
 func (d *gateDuty) reset(timer *time.Timer) {
-	next := time.Now().Add(time.Hour)
+	now := time.Now()
+	next := now.Add(time.Hour)
 	for _, g := range d.targets {
 		if at := g.gate.Next(); !at.IsZero() && at.Before(next) {
 			next = at
 		}
+		if g.gate.Queued() > 0 && now.Add(settingsInterval).Before(next) {
+			next = now.Add(settingsInterval)
+		}
 	}
-	timer.Reset(time.Until(next))
+	timer.Reset(next.Sub(now))
 }
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -84,7 +84,7 @@
 	versions := newConfigDuty(vars, s, logs.For(n.logger, "config"))
 	versions.senders, versions.client, versions.platform, versions.roster = out, control, platform, hosts
 	contract := newContractDuty(vars, versions, logs.For(n.logger, "contract"))
-	gates := newGateDuty(vars, logs.For(n.logger, "gate"))
+	gates := newGateDuty(vars, versions, logs.For(n.logger, "gate"))
 	book := newCallsDuty(vars)
 	claims := newClaimDuty(vars, n.platform, logs.For(n.logger, "claim"))
 	routes := newRouteDuty(vars, versions, hosts)
--- a/internal/mesh/node/serve.go
+++ b/internal/mesh/node/serve.go
@@ -41,7 +41,7 @@
 	}
 	view := f.config.View()
 	if view != nil && view.Index.Zone.Out {
-		return mesh.NotRun(header.ZoneOut, "availability zone %q has been taken out", view.Index.Zone.Name)
+		return zoneOut(view.Index.Zone.Name)
 	}
 	return nil
 }
@@ -72,6 +72,9 @@
 	if refusal != nil {
 		finished.NotRun = refusal.Outcome == header.NotRun
 		finished.Overloaded = refusal.Code == header.TargetRefused
+		finished.Unreachable = refusal.Code == header.TargetUnreachable
+		finished.TimedOut = refusal.Outcome == header.Unknown && refusal.Code == header.DeadlineExceeded
+		finished.Lost = refusal.Code == header.AnswerLost
 		if refusal.Outcome == header.NotRun {
 			f.release(call)
 		}
--- a/internal/mesh/policy.go
+++ b/internal/mesh/policy.go
@@ -16,6 +16,44 @@
 
 	// Restart sets the limit back to what a cold target bears.
 	Restart(now time.Time)
+
+	// Resize sets the limit of a cold target and the largest limit.
+	Resize(cold, slots int)
+}
+
+// Ticket names one request at a gate.
+type Ticket uint64
+
+// Waiter is a request that waits for a target.
+type Waiter struct {
+	Ticket Ticket
+	Call   *Call
+
+	// Since is when the request arrived at the gate.
+	Since time.Time
+}
+
+// Queue holds the requests that wait for a target and decides their order.
+type Queue interface {
+	// Push adds a request. In a full queue one request gives way, which may
+	// be the pushed one itself.
+	Push(w Waiter) (displaced Waiter, full bool)
+
+	// Pop removes the request that runs next.
+	Pop(now time.Time) (next Waiter, found bool)
+
+	// Remove takes out the request with the ticket.
+	Remove(t Ticket) (found bool)
+
+	// Each calls visit for every request until that returns false. The queue
+	// must not be changed meanwhile.
+	Each(visit func(w Waiter) (more bool))
+
+	// Resize sets how many requests may wait and returns those that give way.
+	Resize(length int) (displaced []Waiter)
+
+	// Len returns the number of requests that wait.
+	Len() (n int)
 }
 
 // Picker chooses the target of a call.
