route: levels refuse early, shares grow, failed links are probed

Cause: the picker knew only loads and a retry time.

mesh.Picker now owns what is known of the links: Pick takes the call and returns a refusal in place of a flag, Report takes in how the call went. mesh.Links is gone, since the picker was its only user. Levels are kept by target and route, because routes of one service differ in the services behind them; a level by target alone would refuse routes that are not concerned. Links are kept by target instead of by host, so that a dead target does not close the other targets of its host. Calls that fail together count as one failure; before, fifty of them meant the longest backoff.

Conclusion: the answers' level reaches the entry, and recovery shows with the first probe that succeeds.

--- a/internal/mesh/node/relay.go
+++ b/internal/mesh/node/relay.go
@@ -78,14 +78,12 @@
 	} else {
 		answer, left, refusal = f.carrier.Carry(ctx, to, call, payload)
 	}
-	result := linkResult{to: to, level: mesh.ClassLow}
-	switch {
-	case refusal == nil:
-		result.load, result.level = answer.Load, answer.Level
-	default:
-		result.failed = refusal.Code == header.TargetUnreachable || refusal.Code == header.AnswerLost
-		result.level = levelOf(refusal)
+	report := mesh.LinkReport{To: to, Call: call, Refusal: refusal, Level: mesh.ClassLow}
+	if refusal != nil {
+		report.Level = levelOf(refusal)
+	} else {
+		report.Load, report.Level = answer.Load, answer.Level
 	}
-	f.route.events.Offer(result)
+	f.route.events.Offer(linkResult{report: report})
 	return answer, left, refusal
 }
--- a/internal/mesh/node/route.go
+++ b/internal/mesh/node/route.go
@@ -13,35 +13,20 @@
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
-const (
-	routeRing = 4096
-
-	// linkRetry is the wait after the first failure of a link; it doubles
-	// with each further one up to maxLinkRetry.
-	linkRetry    = 100 * time.Millisecond
-	maxLinkRetry = 5 * time.Second
-)
+const routeRing = 4096
 
 // routeDuty owns what this node knows of its links, and chooses targets. Full
 // ring: a choice is refused, a result is dropped.
 type routeDuty struct {
 	picker mesh.Picker
-	links  linkTable
 	events *ring.Ring
 	config *configDuty
 	roster *rosterDuty
 }
 
-// linkTable implements mesh.Links.
-type linkTable map[netip.AddrPort]mesh.Link
-
-// Link implements mesh.Links.
-func (t linkTable) Link(to netip.AddrPort) (link mesh.Link) { return t[to] }
-
 func newRouteDuty(vars *expvar.Map, config *configDuty, roster *rosterDuty) (d *routeDuty) {
 	return &routeDuty{
 		picker: route.NewNearTwo(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		links:  make(linkTable),
 		events: ring.New(vars, "route", routeRing),
 		config: config,
 		roster: roster,
@@ -63,12 +48,7 @@
 }
 
 // linkResult says how a call over a link went.
-type linkResult struct {
-	to     mesh.Endpoint
-	failed bool
-	load   int
-	level  mesh.Class
-}
+type linkResult struct{ report mesh.LinkReport }
 
 // EventName implements mesh.Event.
 func (pickRequest) EventName() string { return "pick-request" }
@@ -100,7 +80,7 @@
 			case pickRequest:
 				e.reply.Answer(d.pick(time.Now(), e))
 			case linkResult:
-				d.record(time.Now(), e)
+				d.picker.Report(time.Now(), e.report)
 			}
 		}
 	}
@@ -110,22 +90,6 @@
 	index := d.config.View().Index
 	service := e.call.Route.Service
 	endpoints := d.roster.View().Endpoints(service, index.Zones)
-	chosen, found := d.picker.Pick(now, index.Zone.Name, endpoints, d.links, e.tried)
-	if !found {
-		return pickAnswer{refusal: mesh.NotRun(header.NoTarget, "no target of service %q takes work now", service)}
-	}
-	return pickAnswer{chosen: chosen}
-}
-
-func (d *routeDuty) record(now time.Time, e linkResult) {
-	link := d.links[e.to.Host]
-	link.To, link.Zone = e.to.Host, e.to.Zone
-	if e.failed {
-		link.Failures++
-		link.RetryAt = now.Add(min(maxLinkRetry, linkRetry<<min(link.Failures-1, 10)))
-	} else {
-		link.Failures, link.RetryAt = 0, time.Time{}
-		link.Load = e.load
-	}
-	d.links[e.to.Host] = link
+	a.chosen, a.refusal = d.picker.Pick(now, e.call, index.Zone.Name, endpoints, e.tried)
+	return a
 }
--- a/internal/mesh/policy.go
+++ b/internal/mesh/policy.go
@@ -56,17 +56,31 @@
 	Len() (n int)
 }
 
-// Picker chooses the target of a call.
+// Picker knows the links of a node and chooses the targets of calls.
 type Picker interface {
-	// Pick returns one of the endpoints, or false when none may be used.
-	// It skips the hosts in tried.
-	Pick(now time.Time, from ZoneName, endpoints []Endpoint, links Links, tried []netip.AddrPort) (chosen Endpoint, found bool)
+	// Pick returns one of the endpoints, or why none may be used. A host in
+	// tried is only chosen when no other one is left.
+	Pick(now time.Time, call *Call, from ZoneName, endpoints []Endpoint, tried []netip.AddrPort) (chosen Endpoint, refusal *Refusal)
+
+	// Report takes in how a call went whose target was picked.
+	Report(now time.Time, r LinkReport)
 }
 
-// Links tells what a node knows of its links.
-type Links interface {
-	// Link returns the link to the host.
-	Link(to netip.AddrPort) (link Link)
+// LinkReport says how a call over a link went.
+type LinkReport struct {
+	To   Endpoint
+	Call *Call
+
+	// Refusal is nil after an answer.
+	Refusal *Refusal
+
+	// Load is the used part of the target's limit, in thousandths. It only
+	// has a meaning after an answer.
+	Load int
+
+	// Level is the least important class that the target, and the services
+	// behind it, accept.
+	Level Class
 }
 
 // Claimer records that a non-idempotent request is about to run.
--- a/internal/mesh/route/route.go
+++ b/internal/mesh/route/route.go
@@ -8,42 +8,181 @@
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+const (
+	// probeShare is one in how many calls of a refused class goes through all
+	// the same, and probeInterval after which time one does in any case, so
+	// that the end of an overload is noticed.
+	probeShare    = 32
+	probeInterval = 200 * time.Millisecond
+
+	// growthDraws is how often a draw of a target is repeated that lands on
+	// one whose share still grows.
+	growthDraws = 8
 )
 
 // NearTwo takes the less loaded of two random targets, from the caller's own
-// zone as long as that has any that may be used.
-type NearTwo struct{ random *rand.Rand }
+// zone as long as that has any which accepts the call. It refuses calls of
+// classes that no target accepts.
+type NearTwo struct {
+	random *rand.Rand
+	links  *links
+
+	// probed is when a call of a refused class last went through.
+	probed map[routeKey]time.Time
+}
+
+type routeKey struct {
+	service mesh.ServiceName
+	name    string
+}
 
 // NewNearTwo returns a picker that draws from random. It is not safe for use
 // by several goroutines.
-func NewNearTwo(random *rand.Rand) (p *NearTwo) { return &NearTwo{random: random} }
+func NewNearTwo(random *rand.Rand) (p *NearTwo) {
+	return &NearTwo{random: random, links: newLinks(), probed: make(map[routeKey]time.Time)}
+}
+
+// candidate is an endpoint that may be chosen.
+type candidate struct {
+	mesh.Endpoint
+	state *state
+}
+
+// candidates are the endpoints of one pick.
+type candidates struct {
+	// near and far accept the call, in the caller's zone and in others.
+	near, far []candidate
+
+	// refusing do not accept the class of the call.
+	refusing []candidate
+
+	// tried may only be used when nothing else is left.
+	tried []candidate
+
+	// due is a failed link that waits for a probe.
+	due *candidate
+
+	// level is the least important class that any target accepts.
+	level mesh.Class
+}
 
 // Pick implements mesh.Picker.
-func (p *NearTwo) Pick(now time.Time, from mesh.ZoneName, endpoints []mesh.Endpoint, links mesh.Links, tried []netip.AddrPort) (chosen mesh.Endpoint, found bool) {
-	var near, far []mesh.Endpoint
+func (p *NearTwo) Pick(now time.Time, call *mesh.Call, from mesh.ZoneName, endpoints []mesh.Endpoint, tried []netip.AddrPort) (chosen mesh.Endpoint, refusal *mesh.Refusal) {
+	c := p.sort(now, call, from, endpoints, tried)
+	switch {
+	case c.due != nil:
+		c.due.state.probeAt = now
+		return c.due.Endpoint, nil
+	case len(c.near)+len(c.far) > 0:
+		return p.lessLoaded(now, p.side(now, c)), nil
+	case len(c.refusing) > 0:
+		return p.probe(now, call, c)
+	case len(c.tried) > 0:
+		return p.lessLoaded(now, c.tried), nil
+	default:
+		return mesh.Endpoint{}, mesh.NotRun(header.NoTarget, "no target of service %q takes work now", call.Route.Service)
+	}
+}
+
+// sort finds out which endpoints may be chosen.
+func (p *NearTwo) sort(now time.Time, call *mesh.Call, from mesh.ZoneName, endpoints []mesh.Endpoint, tried []netip.AddrPort) (c candidates) {
+	p.links.forget(now)
+	service := call.Route.Service
+	before := p.links.picked[service]
+	p.links.picked[service] = now
 	for _, e := range endpoints {
-		switch {
-		case slices.Contains(tried, e.Host), now.Before(links.Link(e.Host).RetryAt):
-		case e.Zone == from:
-			near = append(near, e)
-		default:
-			far = append(far, e)
-		}
+		s := p.links.meet(now, before, e)
+		c.add(now, call, from, candidate{Endpoint: e, state: s}, slices.Contains(tried, e.Host))
 	}
-	if len(near) > 0 {
-		return p.lessLoaded(near, links), true
+	return c
+}
+
+func (c *candidates) add(now time.Time, call *mesh.Call, from mesh.ZoneName, e candidate, tried bool) {
+	usable, probe := e.state.usable(now, call)
+	if !usable {
+		return
+	}
+	level := e.state.level(now, call.Route.Name)
+	c.level = max(c.level, level)
+	switch {
+	case probe && !tried:
+		c.due = &e
+	case probe:
+	case tried:
+		c.tried = append(c.tried, e)
+	case call.Route.Class > level:
+		c.refusing = append(c.refusing, e)
+	case e.Zone == from:
+		c.near = append(c.near, e)
+	default:
+		c.far = append(c.far, e)
+	}
+}
+
+// side returns the targets of the own zone or those of the others. A zone that
+// returned takes over from the others as its share grows.
+func (p *NearTwo) side(now time.Time, c candidates) (side []candidate) {
+	switch {
+	case len(c.near) == 0:
+		return c.far
+	case len(c.far) == 0:
+		return c.near
+	}
+	near, far := mostGrown(now, c.near), mostGrown(now, c.far)
+	if p.random.Float64()*far < near {
+		return c.near
+	}
+	return c.far
+}
+
+func mostGrown(now time.Time, side []candidate) (part float64) {
+	for _, e := range side {
+		part = max(part, e.state.growth(now))
 	}
-	if len(far) > 0 {
-		return p.lessLoaded(far, links), true
+	return part
+}
+
+// lessLoaded returns the less loaded of two draws.
+func (p *NearTwo) lessLoaded(now time.Time, side []candidate) (chosen mesh.Endpoint) {
+	most := mostGrown(now, side)
+	a, b := p.draw(now, side, most), p.draw(now, side, most)
+	if b.state.load(now) < a.state.load(now) {
+		return b.Endpoint
+	}
+	return a.Endpoint
+}
+
+// draw returns a random target, each with a chance in proportion to how far
+// its share has grown.
+func (p *NearTwo) draw(now time.Time, side []candidate, most float64) (e candidate) {
+	for range growthDraws {
+		e = side[p.random.IntN(len(side))]
+		if p.random.Float64()*most < e.state.growth(now) {
+			break
+		}
+	}
+	return e
+}
+
+// probe lets a few calls of a refused class through and refuses the others.
+func (p *NearTwo) probe(now time.Time, call *mesh.Call, c candidates) (chosen mesh.Endpoint, refusal *mesh.Refusal) {
+	key := routeKey{service: call.Route.Service, name: call.Route.Name}
+	if now.Sub(p.probed[key]) >= probeInterval || p.random.IntN(probeShare) == 0 {
+		p.probed[key] = now
+		return p.lessLoaded(now, c.refusing), nil
 	}
-	return mesh.Endpoint{}, false
+	refusal = mesh.NotRun(header.Overloaded, "service %q accepts no requests of class %v now", call.Route.Service, call.Route.Class)
+	refusal.Level = c.level
+	refusal.RetryAfter = levelLife + time.Duration(p.random.Int64N(int64(levelLife)))
+	return chosen, refusal
 }
 
-func (p *NearTwo) lessLoaded(endpoints []mesh.Endpoint, links mesh.Links) (chosen mesh.Endpoint) {
-	a := endpoints[p.random.IntN(len(endpoints))]
-	b := endpoints[p.random.IntN(len(endpoints))]
-	if links.Link(b.Host).Load < links.Link(a.Host).Load {
-		return b
+// Report implements mesh.Picker.
+func (p *NearTwo) Report(now time.Time, r mesh.LinkReport) {
+	if s, found := p.links.states[keyOf(r.To)]; found {
+		s.report(now, r)
 	}
-	return a
 }
--- /dev/null
+++ b/internal/mesh/route/route_test.go
@@ -0,0 +1,234 @@
+package route
+
+import (
+	"flag"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+var testStart = time.Unix(1_000_000, 0)
+
+// TestMain fixes the seed of the model tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func testCall(class mesh.Class) (call *mesh.Call) {
+	return &mesh.Call{Route: &mesh.Route{Service: "ledger", Name: "book", Class: class, Idempotent: true}, Attempts: 2}
+}
+
+// testEndpoints returns two targets in each of two zones, near ones first.
+func testEndpoints() (endpoints []mesh.Endpoint) {
+	for i, z := range []mesh.ZoneName{"near", "near", "far", "far"} {
+		host := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+		target := mesh.Target{Service: "ledger", Addr: netip.AddrPortFrom(host.Addr(), 8000), Incarnation: 1}
+		endpoints = append(endpoints, mesh.Endpoint{Host: host, Zone: z, Target: target})
+	}
+	return endpoints
+}
+
+// newPicker returns a picker that has known all endpoints for long.
+func newPicker(endpoints []mesh.Endpoint) (p *NearTwo) {
+	p = NewNearTwo(rand.New(rand.NewPCG(1, 2)))
+	p.Pick(testStart.Add(-2*growTime), testCall(0), "near", endpoints, nil)
+	return p
+}
+
+// refused returns what a call that ended with the code reports.
+func refused(code header.RefusalCode, level mesh.Class) (r mesh.LinkReport) {
+	return mesh.LinkReport{Call: testCall(0), Refusal: mesh.NotRun(code, ""), Level: level}
+}
+
+// TestPickSide guards against calls that leave their zone without need, stay in
+// it although it takes none, or go where they will be refused.
+func TestPickSide(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reports [4]header.RefusalCode
+		tried   []int
+		after   time.Duration
+
+		// want holds the endpoints that may be chosen, or the code.
+		want []int
+		code header.RefusalCode
+	}{
+		{"own zone", [4]header.RefusalCode{}, nil, 0, []int{0, 1}, ""},
+		{"other target", [4]header.RefusalCode{header.TargetDraining}, nil, 0, []int{1}, ""},
+		{"other zone", [4]header.RefusalCode{header.TargetUnreachable, header.ZoneOut}, nil, 0, []int{2, 3}, ""},
+		{"own zone overloaded", [4]header.RefusalCode{header.Overloaded, header.Overloaded}, nil, 0, []int{2, 3}, ""},
+		{"own zone tried", [4]header.RefusalCode{}, []int{0, 1}, 0, []int{2, 3}, ""},
+		{"all tried", [4]header.RefusalCode{}, []int{0, 1, 2, 3}, 0, []int{0, 1, 2, 3}, ""},
+		{"none", [4]header.RefusalCode{header.NodeLeaving, header.NodeLeaving, header.NodeLeaving, header.NodeLeaving}, nil, 0, nil, header.NoTarget},
+		{"all overloaded", [4]header.RefusalCode{header.Overloaded, header.Overloaded, header.Overloaded, header.Overloaded}, nil, 0, nil, header.Overloaded},
+		{"stale level", [4]header.RefusalCode{header.Overloaded, header.Overloaded, header.Overloaded, header.Overloaded}, nil, 2 * levelLife, []int{0, 1}, ""},
+		{"failed link is due", [4]header.RefusalCode{header.TargetUnreachable}, nil, linkRetry, []int{0}, ""},
+	} {
+		endpoints := testEndpoints()
+		p := newPicker(endpoints)
+		for i, code := range c.reports {
+			if code != "" {
+				r := refused(code, mesh.ClassCritical)
+				r.To = endpoints[i]
+				p.Report(testStart, r)
+			}
+		}
+		var tried []netip.AddrPort
+		for _, i := range c.tried {
+			tried = append(tried, endpoints[i].Host)
+		}
+		now := testStart.Add(c.after)
+		p.probed[routeKey{service: "ledger", name: "book"}] = now
+		chosen, refusal := p.Pick(now, testCall(mesh.ClassNormal), "near", endpoints, tried)
+		i := slices.Index(endpoints, chosen)
+		switch {
+		case refusal != nil && (refusal.Code != c.code || refusal.Outcome != header.NotRun):
+			t.Errorf("%s: got %v, want code %q", c.name, refusal, c.code)
+		case refusal == nil && !slices.Contains(c.want, i):
+			t.Errorf("%s: got endpoint %d, want one of %v or %q", c.name, i, c.want, c.code)
+		}
+	}
+}
+
+// TestLevelProbes guards against an early refusal that lets no call through to
+// notice the end of the overload, or so many that it saves nothing.
+func TestLevelProbes(t *testing.T) {
+	endpoints := testEndpoints()[:2]
+	p := newPicker(endpoints)
+	through := 0
+	for i := range 1000 {
+		now := testStart.Add(time.Duration(i) * time.Millisecond)
+		for _, e := range endpoints {
+			r := refused(header.Overloaded, mesh.ClassHigh)
+			r.To = e
+			p.Report(now, r)
+		}
+		_, refusal := p.Pick(now, testCall(mesh.ClassNormal), "near", endpoints, nil)
+		switch {
+		case refusal == nil:
+			through++
+		case refusal.Level != mesh.ClassHigh || refusal.RetryAfter < levelLife:
+			t.Fatalf("got level %v, retry after %v", refusal.Level, refusal.RetryAfter)
+		}
+	}
+	if through < 5 || through > 1000/probeShare*2 {
+		t.Errorf("got %d probes of 1000 calls, want from 5 to %d", through, 1000/probeShare*2)
+	}
+	p.Report(testStart.Add(time.Second), mesh.LinkReport{To: endpoints[0], Call: testCall(0), Level: mesh.ClassLow})
+	if chosen, refusal := p.Pick(testStart.Add(time.Second), testCall(mesh.ClassNormal), "near", endpoints, nil); refusal != nil || chosen != endpoints[0] {
+		t.Errorf("after the overload: got %v %v, want the target that accepts", chosen, refusal)
+	}
+}
+
+// TestReturnGrows guards against a zone or target that gets its whole share at
+// the moment of its return.
+func TestReturnGrows(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		away  []int
+		after time.Duration
+
+		// least and most bound the part of the calls, in percent.
+		least, most int
+	}{
+		{"zone at once", []int{0, 1}, 0, 1, 12},
+		{"zone half way", []int{0, 1}, growTime / 2, 40, 65},
+		{"zone later", []int{0, 1}, growTime, 100, 100},
+		{"target at once", []int{0}, 0, 1, 8},
+		{"target later", []int{0}, growTime, 40, 60},
+	} {
+		endpoints := testEndpoints()
+		p := newPicker(endpoints)
+		back := func(e mesh.Endpoint) bool { return slices.Contains(c.away, slices.Index(endpoints, e)) }
+		p.Pick(testStart.Add(-time.Millisecond), testCall(0), "near", slices.DeleteFunc(slices.Clone(endpoints), back), nil)
+		p.Pick(testStart, testCall(0), "near", endpoints, nil)
+		got := 0
+		for range 1000 {
+			if chosen, _ := p.Pick(testStart.Add(c.after), testCall(0), "near", endpoints, nil); back(chosen) {
+				got++
+			}
+		}
+		if got < 10*c.least || got > 10*c.most {
+			t.Errorf("%s: got %d of 1000 calls, want from %d%% to %d%%", c.name, got, c.least, c.most)
+		}
+	}
+}
+
+// TestFailedLinksAreProbedAlone guards against a failed link that gets calls
+// before its time, or several at once.
+func TestFailedLinksAreProbedAlone(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		endpoints := testEndpoints()
+		p, now := newPicker(endpoints), testStart
+		var failures [4]int
+		var retryAt [4]time.Time
+		var out []int
+		r.Repeat(map[string]func(*rapid.T){
+			"pick": func(*rapid.T) {
+				chosen, refusal := p.Pick(now, testCall(0), "near", endpoints, nil)
+				if refusal != nil {
+					return
+				}
+				i := slices.Index(endpoints, chosen)
+				if now.Before(retryAt[i]) {
+					r.Fatalf("endpoint %d was picked %v before its time", i, retryAt[i].Sub(now))
+				}
+				if failures[i] > 0 && slices.Contains(out, i) {
+					r.Fatalf("endpoint %d with %d failures was picked twice at once", i, failures[i])
+				}
+				out = append(out, i)
+			},
+			"report": func(*rapid.T) {
+				if len(out) == 0 {
+					return
+				}
+				i := out[0]
+				// What else is under way to the target ends with it.
+				out = slices.DeleteFunc(out, func(j int) bool { return j == i })
+				report := mesh.LinkReport{To: endpoints[i], Call: testCall(0), Level: mesh.ClassLow}
+				failures[i], retryAt[i] = 0, time.Time{}
+				if rapid.Bool().Draw(r, "fails") {
+					failures[i]++
+					retryAt[i] = now.Add(linkRetry)
+					report.Refusal = mesh.NotRun(header.TargetUnreachable, "")
+				}
+				p.Report(now, report)
+			},
+			"wait": func(*rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(r, "ms")) * time.Millisecond) },
+		})
+	})
+}
+
+// TestOneFailureCountsOnce guards against calls that fail together and thereby
+// keep the link away for as long as many failures in a row.
+func TestOneFailureCountsOnce(t *testing.T) {
+	endpoints := testEndpoints()[:1]
+	p := newPicker(endpoints)
+	r := refused(header.TargetUnreachable, mesh.ClassLow)
+	r.To = endpoints[0]
+	for range 50 {
+		p.Report(testStart, r)
+	}
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{linkRetry - 1, false}, {linkRetry, true}} {
+		if _, refusal := p.Pick(testStart.Add(c.after), testCall(0), "near", endpoints, nil); (refusal == nil) != c.want {
+			t.Errorf("after %v: got %v, want a choice: %v", c.after, refusal, c.want)
+		}
+	}
+}
