calls: deeper calls keep the class of their request

Cause: the class of a call was that of its route, so the deeper calls of a payout were queued and shed as ordinary requests. Ruled out: the more important of both classes; a service would raise the class of whatever calls it. The demo counts requests by how their last attempt ended, and tests wait for a node's listeners.

--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -92,7 +92,8 @@
 	resends int
 }
 
-// tally sums up the requests of one organisation and kind in a phase.
+// tally sums up the requests of one organisation and kind in a phase, by how
+// their last attempt ended.
 type tally struct {
 	sent, answered, refused, rateRefused, uncertain int
 
@@ -178,13 +179,14 @@
 	if payout {
 		name += " payouts"
 	}
+	var r result
 	for range d.resends + 1 {
-		r := c.send(ctx, f.entries[rand.IntN(len(f.entries))], d.organisation, payout)
-		p.record(name, time.Since(started), r)
+		r = c.send(ctx, f.entries[rand.IntN(len(f.entries))], d.organisation, payout)
 		if r.kind == answered || r.kind == uncertain {
-			return
+			break
 		}
 	}
+	p.record(name, time.Since(started), r)
 }
 
 // latency measures one kind of request, one at a time.
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -139,6 +139,10 @@
 	ID    RequestID
 	Route *Route
 
+	// Class is the importance of the request, set by its route at entry. Its
+	// deeper calls keep it, whatever their own routes say.
+	Class Class
+
 	// Organisation is empty on open routes.
 	Organisation OrganisationName
 
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -36,7 +36,7 @@
 
 func testCall(class mesh.Class, organisation string, deadline time.Time) (call *mesh.Call) {
 	return &mesh.Call{
-		Route:        &mesh.Route{Service: "ledger", Name: "book", Class: class},
+		Class: class, Route: &mesh.Route{Service: "ledger", Name: "book", Class: class},
 		Organisation: mesh.OrganisationName(organisation),
 		Weight:       1,
 		Deadline:     deadline,
@@ -94,8 +94,8 @@
 		m.Fatalf("a request started with %v left", left)
 	}
 	for _, c := range m.waiting {
-		if c.Route.Class < call.Route.Class && c.Remaining(m.now) >= testWork {
-			m.Fatalf("class %v started while class %v waits", call.Route.Class, c.Route.Class)
+		if c.Route.Class < call.Class && c.Remaining(m.now) >= testWork {
+			m.Fatalf("class %v started while class %v waits", call.Class, c.Route.Class)
 		}
 	}
 }
--- a/internal/mesh/gate/queue.go
+++ b/internal/mesh/gate/queue.go
@@ -87,7 +87,7 @@
 }
 
 func classOf(call *mesh.Call) (class mesh.Class) {
-	return min(call.Route.Class, mesh.ClassLow)
+	return min(call.Class, mesh.ClassLow)
 }
 
 // line returns the line of the call's organisation. A new one joins as the
--- a/internal/mesh/node/carry.go
+++ b/internal/mesh/node/carry.go
@@ -209,7 +209,7 @@
 		Route:        call.Route.Name,
 		Organisation: string(call.Organisation),
 		KeyHash:      call.Key[:],
-		Class:        uint32(call.Route.Class),
+		Class:        uint32(call.Class),
 		Remaining:    int64(call.Remaining(time.Now())),
 		Attempts:     uint32(call.Attempts),
 		Weight:       uint32(call.Weight),
@@ -270,7 +270,7 @@
 	}
 	request.Header.Set(header.Call, string(token))
 	request.Header.Set(header.RequestID, call.ID.String())
-	request.Header.Set(header.Class, call.Route.Class.String())
+	request.Header.Set(header.Class, call.Class.String())
 	request.Header.Set(header.Timeout, call.Remaining(time.Now()).String())
 	if call.Organisation != "" {
 		request.Header.Set(header.Organisation, string(call.Organisation))
--- a/internal/mesh/node/entry.go
+++ b/internal/mesh/node/entry.go
@@ -57,7 +57,7 @@
 func (f *front) measure(started time.Time, call *mesh.Call, refusal *mesh.Refusal) {
 	s := measurement{outcome: header.Ran, latency: time.Since(started), class: mesh.ClassLow}
 	if call != nil {
-		s.organisation, s.class = call.Organisation, call.Route.Class
+		s.organisation, s.class = call.Organisation, call.Class
 	}
 	if refusal != nil {
 		s.outcome, s.code = refusal.Outcome, refusal.Code
@@ -97,6 +97,7 @@
 		call.Weight = max(1, view.Index.Contracts[call.Organisation].Weight)
 	}
 	call.Route = match.For(call.Organisation)
+	call.Class = call.Route.Class
 	call.Attempts = call.Route.Retries
 	if call.ID, refusal = readRequestID(r); refusal != nil {
 		return nil, refusal
--- a/internal/mesh/node/latency_test.go
+++ b/internal/mesh/node/latency_test.go
@@ -80,9 +80,24 @@
 		}
 	}()
 	tb.Cleanup(func() { cancel(); <-ended })
+	for _, addr := range []netip.AddrPort{s.CallerListen, s.LocalListen, s.PeerListen} {
+		awaitListener(tb, addr)
+	}
 	return s
 }
 
+// awaitListener waits until connections are accepted.
+func awaitListener(tb testing.TB, addr netip.AddrPort) {
+	tb.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if conn, err := net.Dial("tcp", addr.String()); err == nil {
+			conn.Close()
+			return
+		}
+	}
+	tb.Fatalf("got no listener at %s in 10s, want one", addr)
+}
+
 // startTarget runs a sample target until the test ends.
 func startTarget(tb testing.TB, node netip.AddrPort, options ...sample.Option) (addr netip.AddrPort) {
 	tb.Helper()
--- a/internal/mesh/node/serve.go
+++ b/internal/mesh/node/serve.go
@@ -166,6 +166,7 @@
 func callOf(pass *wire.Pass, route *mesh.Route, now time.Time) (call *mesh.Call) {
 	call = &mesh.Call{
 		Route:        route,
+		Class:        mesh.Class(pass.GetClass()),
 		Organisation: mesh.OrganisationName(pass.GetOrganisation()),
 		Weight:       int(pass.GetWeight()),
 		Deadline:     now.Add(time.Duration(pass.GetRemaining())),
--- a/internal/mesh/route/route.go
+++ b/internal/mesh/route/route.go
@@ -113,7 +113,7 @@
 	case probe:
 	case tried:
 		c.tried = append(c.tried, e)
-	case call.Route.Class > level:
+	case call.Class > level:
 		c.refusing = append(c.refusing, e)
 	case e.Zone == from:
 		c.near = append(c.near, e)
@@ -174,7 +174,7 @@
 		p.probed[key] = now
 		return p.lessLoaded(now, c.refusing), nil
 	}
-	refusal = mesh.NotRun(header.Overloaded, "service %q accepts no requests of class %v now", call.Route.Service, call.Route.Class)
+	refusal = mesh.NotRun(header.Overloaded, "service %q accepts no requests of class %v now", call.Route.Service, call.Class)
 	refusal.Level = c.level
 	refusal.RetryAfter = levelLife + time.Duration(p.random.Int64N(int64(levelLife)))
 	return chosen, refusal
