--- a/internal/mesh/parse/parse.go
+++ b/internal/mesh/parse/parse.go
@@ -2,9 +2,12 @@
 package parse
 
 import (
-	"bytes"
+	"cmp"
 	"fmt"
-	"time"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
 
 	"go.yaml.in/yaml/v3"
 
@@ -12,134 +15,266 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh/tree"
 )
 
-type document struct {
-	Settings      settings            `yaml:"settings"`
-	Zones         map[string]zone     `yaml:"zones"`
-	Services      map[string]service  `yaml:"services"`
-	Organisations map[string]settings `yaml:"organisations"`
-}
-
-type zone struct {
-	Region   string   `yaml:"region"`
-	Out      bool     `yaml:"out"`
-	Settings settings `yaml:"settings"`
-}
-
-type service struct {
-	Settings settings         `yaml:"settings"`
-	Routes   map[string]route `yaml:"routes"`
-}
-
-type route struct {
-	Path     string   `yaml:"path"`
-	Methods  []string `yaml:"methods"`
-	Settings settings `yaml:"settings"`
-}
-
-type settings struct {
-	Timeout     *time.Duration `yaml:"timeout"`
-	Retries     *int           `yaml:"retries"`
-	Class       *string        `yaml:"class"`
-	MaxBody     *int64         `yaml:"max-body"`
-	Idempotent  *bool          `yaml:"idempotent"`
-	Open        *bool          `yaml:"open"`
-	Once        *string        `yaml:"once"`
-	ColdLimit   *int           `yaml:"cold-limit"`
-	TargetDelay *time.Duration `yaml:"target-delay"`
-	QueueLength *int           `yaml:"queue-length"`
-	Rate        *float64       `yaml:"rate"`
-	Burst       *float64       `yaml:"burst"`
-	Weight      *int           `yaml:"weight"`
-	RetryRatio  *float64       `yaml:"retry-ratio"`
-	KeyGrace    *time.Duration `yaml:"key-grace"`
-	ShareLease  *time.Duration `yaml:"share-lease"`
-	ClaimKeep   *time.Duration `yaml:"claim-keep"`
-}
-
-// Tree reads and checks a settings tree.
-func Tree(text []byte) (t *tree.Tree, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("settings tree: %w", err)
-		}
-	}()
-	var d document
-	decoder := yaml.NewDecoder(bytes.NewReader(text))
-	decoder.KnownFields(true)
-	if err := decoder.Decode(&d); err != nil {
-		return nil, err
+// maxText is the largest text of a tree, in bytes. Every node keeps the text,
+// and a node has 64 MB for control.
+const maxText = 4 << 20
+
+// Problem is one reason to refuse a text.
+type Problem struct {
+	// File is empty when the text did not come from a file.
+	File string
+
+	// Line counts from 1.
+	Line int
+
+	tree.Problem
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	where := strconv.Itoa(p.Line)
+	if p.File != "" {
+		where = p.File + ":" + where
+	} else {
+		where = "line " + where
+	}
+	if p.Path == "" {
+		return where + ": " + p.Message
+	}
+	return where + ": " + p.Problem.String()
+}
+
+// RefusedError holds every problem of a text.
+type RefusedError struct {
+	// Problems is sorted by line and never empty.
+	Problems []Problem
+}
+
+// Error lists all problems, one a line.
+func (e *RefusedError) Error() string {
+	lines := make([]string, 0, len(e.Problems)+1)
+	lines = append(lines, fmt.Sprintf("settings tree refused, problems: %d", len(e.Problems)))
+	for _, p := range e.Problems {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Tree reads and checks a settings tree. It returns a *RefusedError with all
+// problems of a tree that may not be put in force.
+func Tree(text []byte) (t *tree.Tree, err error) { return File("", text) }
+
+// File is Tree for a text whose file the problems name.
+func File(file string, text []byte) (t *tree.Tree, err error) {
+	r := reader{lines: make(map[string]int)}
+	t = r.tree(text)
+	r.check(t)
+	if len(r.problems) == 0 {
+		return t, nil
 	}
-	t, err = d.tree()
-	if err != nil {
-		return nil, err
+	for i := range r.problems {
+		r.problems[i].File = file
 	}
-	if problems := t.Check(); len(problems) > 0 {
-		return nil, fmt.Errorf("%v (%d problems)", problems[0], len(problems))
+	slices.SortStableFunc(r.problems, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
+	return nil, &RefusedError{Problems: r.problems}
+}
+
+// reader turns a YAML document into a tree and notes where each value stands.
+type reader struct {
+	problems []Problem
+
+	// lines holds the line of each path that the text names.
+	lines map[string]int
+
+	// broken is true when the text is no YAML mapping, so that checks of the
+	// tree would report nothing but what is missing.
+	broken bool
+}
+
+func (r *reader) add(line int, path, format string, args ...any) {
+	r.problems = append(r.problems, Problem{Line: line, Problem: tree.Problem{Path: path, Message: fmt.Sprintf(format, args...)}})
+}
+
+// check adds the problems of the tree, except for those of values that could
+// not be read in the first place.
+func (r *reader) check(t *tree.Tree) {
+	if r.broken {
+		return
+	}
+	unread := make(map[string]bool)
+	for _, p := range r.problems {
+		unread[p.Path] = true
+	}
+	for _, p := range t.Check() {
+		if !unread[p.Path] {
+			r.problems = append(r.problems, Problem{Line: r.lineOf(p.Path), Problem: p})
+		}
 	}
-	return t, nil
 }
 
-func (d document) tree() (t *tree.Tree, err error) {
+// lineOf returns the line of the path or of the nearest level above it.
+func (r *reader) lineOf(path string) (line int) {
+	for path != "" {
+		if line, found := r.lines[path]; found {
+			return line
+		}
+		path = path[:max(0, strings.LastIndexByte(path, '.'))]
+	}
+	return 1
+}
+
+var yamlLine = regexp.MustCompile(`^yaml: (?:line (\d+): )?`)
+
+func (r *reader) tree(text []byte) (t *tree.Tree) {
 	t = &tree.Tree{
 		Zones:         make(map[mesh.ZoneName]tree.Zone),
 		Services:      make(map[mesh.ServiceName]tree.Service),
 		Organisations: make(map[mesh.OrganisationName]tree.Settings),
 	}
-	if t.Fleet, err = d.Settings.level("settings"); err != nil {
-		return nil, err
+	var document yaml.Node
+	switch err := unmarshal(text, &document); {
+	case err != nil:
+		r.broken = true
+		line := 1
+		if found := yamlLine.FindStringSubmatch(err.Error()); found != nil && found[1] != "" {
+			line, _ = strconv.Atoi(found[1])
+		}
+		r.add(line, "", "%s", yamlLine.ReplaceAllString(err.Error(), ""))
+		return t
+	case len(document.Content) == 0 || isNull(document.Content[0]):
+		r.broken = true
+		r.add(1, "", "the text is empty; a tree has the fields settings, zones, services and organisations")
+		return t
+	}
+	r.fields("", document.Content[0], fieldReaders{
+		"settings":      func(path string, n *yaml.Node) { t.Fleet = r.settings(path, tree.LevelFleet, n) },
+		"zones":         func(path string, n *yaml.Node) { r.zones(path, n, t) },
+		"services":      func(path string, n *yaml.Node) { r.services(path, n, t) },
+		"organisations": func(path string, n *yaml.Node) { r.organisations(path, n, t) },
+	})
+	return t
+}
+
+func unmarshal(text []byte, document *yaml.Node) (err error) {
+	if len(text) > maxText {
+		return fmt.Errorf("the text has %d bytes; allowed are %d", len(text), maxText)
 	}
-	for name, z := range d.Zones {
-		s, err := z.Settings.level("zones." + name)
-		if err != nil {
-			return nil, err
+	decoder := yaml.NewDecoder(strings.NewReader(string(text)))
+	if err := decoder.Decode(document); err != nil {
+		if err.Error() == "EOF" {
+			return nil
 		}
-		t.Zones[mesh.ZoneName(name)] = tree.Zone{Region: z.Region, Out: z.Out, Settings: s}
+		return err
 	}
-	for name, s := range d.Services {
-		if t.Services[mesh.ServiceName(name)], err = s.level("services." + name); err != nil {
-			return nil, err
+	var second yaml.Node
+	if decoder.Decode(&second) == nil {
+		return fmt.Errorf("yaml: line %d: a second document starts here; a tree is one document", second.Line)
+	}
+	return nil
+}
+
+func isNull(n *yaml.Node) bool { return n.Kind == yaml.ScalarNode && n.Tag == "!!null" }
+
+// entry is one key of a mapping with its value.
+type entry struct {
+	name  string
+	path  string
+	value *yaml.Node
+}
+
+// entries returns the entries of a mapping. An empty value has none.
+func (r *reader) entries(path string, n *yaml.Node) (entries []entry) {
+	if isNull(n) {
+		return nil
+	}
+	if n.Kind != yaml.MappingNode {
+		r.broken = r.broken || path == ""
+		r.add(n.Line, path, "is not a mapping; write NAME: VALUE lines below it")
+		return nil
+	}
+	for i := 0; i < len(n.Content); i += 2 {
+		key, value := n.Content[i], n.Content[i+1]
+		at := key.Value
+		if path != "" {
+			at = path + "." + at
+		}
+		if first, repeated := r.lines[at]; repeated {
+			r.add(key.Line, at, "was already given at line %d; give it once", first)
+			continue
 		}
+		r.lines[at] = key.Line
+		if value.Kind == yaml.AliasNode || key.Value == "<<" {
+			r.add(key.Line, at, "uses a YAML alias; write the value out, or set it on the level above")
+			continue
+		}
+		entries = append(entries, entry{name: key.Value, path: at, value: value})
 	}
-	for name, s := range d.Organisations {
-		if t.Organisations[mesh.OrganisationName(name)], err = s.level("organisations." + name); err != nil {
-			return nil, err
+	return entries
+}
+
+// fieldReaders read the fields of a mapping, by name.
+type fieldReaders map[string]func(path string, n *yaml.Node)
+
+func (r *reader) fields(path string, n *yaml.Node, readers fieldReaders) {
+	for _, e := range r.entries(path, n) {
+		read, known := readers[e.name]
+		if !known {
+			r.unknown(e.path, sortedNames(readers))
+			continue
 		}
+		read(e.path, e.value)
 	}
-	return t, nil
 }
 
-func (s service) level(path string) (out tree.Service, err error) {
-	out.Routes = make(map[string]tree.Route)
-	if out.Settings, err = s.Settings.level(path); err != nil {
-		return out, err
+func (r *reader) unknown(path string, allowed []string) {
+	r.add(r.lines[path], path, "is not known; allowed here: %s", strings.Join(allowed, ", "))
+}
+
+func sortedNames(readers fieldReaders) (names []string) {
+	for name := range readers {
+		names = append(names, name)
 	}
-	for name, r := range s.Routes {
-		level, err := r.Settings.level(path + ".routes." + name)
-		if err != nil {
-			return out, err
-		}
-		out.Routes[name] = tree.Route{Path: r.Path, Methods: r.Methods, Settings: level}
+	slices.Sort(names)
+	return names
+}
+
+func (r *reader) zones(path string, n *yaml.Node, t *tree.Tree) {
+	for _, e := range r.entries(path, n) {
+		var z tree.Zone
+		r.fields(e.path, e.value, fieldReaders{
+			"region":   func(path string, n *yaml.Node) { z.Region = r.text(path, n) },
+			"out":      func(path string, n *yaml.Node) { r.scalar(path, n, &z.Out, "true or false") },
+			"settings": func(path string, n *yaml.Node) { z.Settings = r.settings(path, tree.LevelZone, n) },
+		})
+		t.Zones[mesh.ZoneName(e.name)] = z
 	}
-	return out, nil
 }
 
-func (s settings) level(path string) (out tree.Settings, err error) {
-	out = tree.Settings{
-		Timeout: s.Timeout, Retries: s.Retries, MaxBody: s.MaxBody,
-		Idempotent: s.Idempotent, Open: s.Open,
-		ColdLimit: s.ColdLimit, TargetDelay: s.TargetDelay, QueueLength: s.QueueLength,
-		Rate: s.Rate, Burst: s.Burst, Weight: s.Weight,
-		RetryRatio: s.RetryRatio, KeyGrace: s.KeyGrace, ShareLease: s.ShareLease, ClaimKeep: s.ClaimKeep,
+func (r *reader) services(path string, n *yaml.Node, t *tree.Tree) {
+	for _, e := range r.entries(path, n) {
+		s := tree.Service{Routes: make(map[string]tree.Route)}
+		r.fields(e.path, e.value, fieldReaders{
+			"settings": func(path string, n *yaml.Node) { s.Settings = r.settings(path, tree.LevelService, n) },
+			"routes":   func(path string, n *yaml.Node) { r.routes(path, n, s.Routes) },
+		})
+		t.Services[mesh.ServiceName(e.name)] = s
 	}
-	if s.Class != nil {
-		class, found := mesh.ParseClass(*s.Class)
-		if !found {
-			return out, fmt.Errorf("%s: class %q does not exist; use critical, high, normal or low", path, *s.Class)
-		}
-		out.Class = &class
+}
+
+func (r *reader) routes(path string, n *yaml.Node, routes map[string]tree.Route) {
+	for _, e := range r.entries(path, n) {
+		var route tree.Route
+		r.fields(e.path, e.value, fieldReaders{
+			"path":     func(path string, n *yaml.Node) { route.Path = r.text(path, n) },
+			"methods":  func(path string, n *yaml.Node) { r.scalar(path, n, &route.Methods, "a list such as [GET, HEAD]") },
+			"settings": func(path string, n *yaml.Node) { route.Settings = r.settings(path, tree.LevelRoute, n) },
+		})
+		routes[e.name] = route
 	}
-	if s.Once != nil {
-		out.Once = new(mesh.OnceMode(*s.Once))
+}
+
+func (r *reader) organisations(path string, n *yaml.Node, t *tree.Tree) {
+	for _, e := range r.entries(path, n) {
+		t.Organisations[mesh.OrganisationName(e.name)] = r.settings(e.path, tree.LevelOrganisation, e.value)
 	}
-	return out, nil
 }
--- a/internal/mesh/tree/check.go
+++ b/internal/mesh/tree/check.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"maps"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
 )
 
 // Problem is one reason to refuse a tree.
@@ -20,68 +23,234 @@
 // String returns the problem as one line.
 func (p Problem) String() string { return p.Path + ": " + p.Message }
 
-// Limits of single values.
-const (
-	maxTimeout = 10 * time.Minute
-	maxRetries = 16
-	maxBody    = 64 << 20
+var (
+	namePattern   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]+$`)
 )
 
+// reservedServices are paths of a node's own at the listener for targets.
+var reservedServices = []mesh.ServiceName{"debug", "quetzal"}
+
 // Check returns every problem of the tree, in a stable order. A tree without
 // problems may be put in force.
 func (t *Tree) Check() (problems []Problem) {
-	c := checker{}
-	c.settings("settings", t.Fleet)
+	c := checker{tree: t}
+	c.settings("settings", LevelFleet, t.Fleet)
 	for _, name := range slices.Sorted(maps.Keys(t.Zones)) {
-		c.zone("zones."+string(name), t.Zones[name])
+		c.zone(name, t.Zones[name])
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.Services)) {
-		c.service("services."+string(name), t.Services[name])
+		c.service(name, t.Services[name])
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.Organisations)) {
-		c.settings("organisations."+string(name), t.Organisations[name])
+		path := "organisations." + string(name)
+		c.name(path, string(name))
+		c.settings(path, LevelOrganisation, t.Organisations[name])
 	}
+	c.contradictions()
 	return c.problems
 }
 
-type checker struct{ problems []Problem }
+type checker struct {
+	tree     *Tree
+	problems []Problem
+}
 
 func (c *checker) add(path, format string, args ...any) {
 	c.problems = append(c.problems, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
 }
 
-func (c *checker) zone(path string, z Zone) {
+func (c *checker) name(path, name string) {
+	if !namePattern.MatchString(name) {
+		c.add(path, "the name %q is not allowed; use 1 to 63 letters, digits, hyphens and underscores, with a letter or digit first", name)
+	}
+}
+
+func (c *checker) settings(path string, level Level, s Settings) {
+	for _, r := range rules {
+		if !r.set(&s) {
+			continue
+		}
+		if r.levels&level == 0 {
+			c.misplaced(path+"."+r.name, level, r, s)
+			continue
+		}
+		if message := r.wrong(&s); message != "" {
+			c.add(path+"."+r.name, "%s", message)
+		}
+	}
+}
+
+func (c *checker) misplaced(path string, level Level, r rule, s Settings) {
+	if r.levels == contractLevels && s.Open != nil && *s.Open {
+		c.add(path, "limits an organisation, but open requests belong to none; allowed on: %s", r.levels)
+		return
+	}
+	c.add(path, "has no meaning on the level %s; allowed on: %s", level, r.levels)
+}
+
+func (c *checker) zone(name mesh.ZoneName, z Zone) {
+	path := "zones." + string(name)
+	c.name(path, string(name))
 	if z.Region == "" {
 		c.add(path+".region", "is missing; name the region of the zone")
 	}
-	c.settings(path+".settings", z.Settings)
+	c.settings(path+".settings", LevelZone, z.Settings)
+}
+
+func (c *checker) service(name mesh.ServiceName, s Service) {
+	path := "services." + string(name)
+	c.name(path, string(name))
+	if slices.Contains(reservedServices, name) {
+		c.add(path, "the name is used by the nodes themselves; choose another one")
+	}
+	c.settings(path+".settings", LevelService, s.Settings)
+	if len(s.Routes) == 0 {
+		c.add(path+".routes", "is missing; a service needs at least one route")
+	}
+	names := slices.Sorted(maps.Keys(s.Routes))
+	for i, routeName := range names {
+		c.route(path+".routes."+routeName, routeName, s.Routes[routeName])
+		for _, other := range names[:i] {
+			c.overlap(path+".routes.", routeName, other, s)
+		}
+	}
+}
+
+func (c *checker) route(path, name string, r Route) {
+	c.name(path, name)
+	c.routePath(path+".path", r.Path)
+	seen := make(map[string]bool)
+	for _, m := range r.Methods {
+		switch {
+		case !methodPattern.MatchString(m):
+			c.add(path+".methods", "names %q; allowed are HTTP methods in capitals, such as GET", m)
+		case seen[m]:
+			c.add(path+".methods", "names %s twice; name each method once", m)
+		}
+		seen[m] = true
+	}
+	c.settings(path+".settings", LevelRoute, r.Settings)
+}
+
+func (c *checker) routePath(path, value string) {
+	segments := strings.Split(strings.TrimSuffix(value, "/"), "/")
+	switch {
+	case value == "":
+		c.add(path, "is missing; write the prefix that the route covers, such as /accounts")
+	case value[0] != '/':
+		c.add(path, "is %q; it must start with a slash", value)
+	case strings.ContainsAny(value, "?#%* \t"):
+		c.add(path, "is %q; it must be a plain prefix without ?, #, %%, * and spaces", value)
+	case slices.ContainsFunc(segments[1:], func(s string) bool { return s == "" || s == "." || s == ".." }):
+		c.add(path, "is %q; empty segments, . and .. are not allowed", value)
+	}
 }
 
-func (c *checker) service(path string, s Service) {
-	c.settings(path+".settings", s.Settings)
-	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
-		r := s.Routes[name]
-		if !strings.HasPrefix(r.Path, "/") {
-			c.add(path+".routes."+name+".path", "is %q; it must start with a slash", r.Path)
+// overlap reports two routes that cover the same requests, so that it would be
+// left to chance which one applies.
+func (c *checker) overlap(path, name, other string, s Service) {
+	a, b := s.Routes[name], s.Routes[other]
+	if a.Path == "" || strings.TrimSuffix(a.Path, "/") != strings.TrimSuffix(b.Path, "/") {
+		return
+	}
+	if common, found := commonMethod(a.Methods, b.Methods); found {
+		c.add(path+name+".path", "covers the same requests as route %q (%s %s); give one of them another path or other methods", other, common, b.Path)
+	}
+}
+
+// commonMethod returns a method that both routes take; no methods mean all.
+func commonMethod(a, b []string) (method string, found bool) {
+	switch {
+	case len(a) == 0 && len(b) == 0:
+		return "every method,", true
+	case len(a) == 0:
+		return b[0], true
+	}
+	for _, m := range a {
+		if len(b) == 0 || slices.Contains(b, m) {
+			return m, true
 		}
-		c.settings(path+".routes."+name+".settings", r.Settings)
+	}
+	return "", false
+}
+
+// contradictions reports levels that are each valid but make no sense
+// together.
+func (c *checker) contradictions() {
+	fleet := c.tree.Fleet.over(Defaults())
+	views := map[string]Settings{"": fleet}
+	for name, z := range c.tree.Zones {
+		if z.Settings != (Settings{}) {
+			views[string(name)] = z.Settings.over(fleet)
+		}
+	}
+	r := reach{zones: views, openEverywhere: len(c.tree.Services) > 0}
+	for _, name := range slices.Sorted(maps.Keys(c.tree.Services)) {
+		c.serviceContradictions(&r, name, c.tree.Services[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.tree.Organisations)) {
+		c.organisationContradictions(&r, "organisations."+string(name), c.tree.Organisations[name])
+	}
+	if *fleet.ClaimKeep < r.longest {
+		c.add("settings.claim-keep", "is %v, but requests may run for %v; a claim must outlast its request", *fleet.ClaimKeep, r.longest)
 	}
 }
 
-func (c *checker) settings(path string, s Settings) {
-	if s.Timeout != nil && (*s.Timeout <= 0 || *s.Timeout > maxTimeout) {
-		c.add(path+".timeout", "is %v; it must be above 0 and at most %v", *s.Timeout, maxTimeout)
+// reach is what the levels above the organisations amount to.
+type reach struct {
+	// zones holds what services inherit, by zone; the empty name stands for
+	// a zone that sets nothing.
+	zones map[string]Settings
+
+	// openEverywhere is true while no route needs a key.
+	openEverywhere bool
+
+	longest      time.Duration
+	longestDelay time.Duration
+}
+
+func (c *checker) serviceContradictions(r *reach, name mesh.ServiceName, s Service) {
+	for _, routeName := range slices.Sorted(maps.Keys(s.Routes)) {
+		path := "services." + string(name) + ".routes." + routeName
+		c.routeContradictions(r, path, s, s.Routes[routeName])
 	}
-	if s.Retries != nil && (*s.Retries < 0 || *s.Retries > maxRetries) {
-		c.add(path+".retries", "is %d; it must be from 0 to %d", *s.Retries, maxRetries)
+}
+
+func (c *checker) routeContradictions(r *reach, path string, s Service, route Route) {
+	for _, zone := range slices.Sorted(maps.Keys(r.zones)) {
+		merged := route.Settings.over(s.Settings.over(r.zones[zone]))
+		r.openEverywhere = r.openEverywhere && *merged.Open
+		r.longest = max(r.longest, *merged.Timeout)
+		r.longestDelay = max(r.longestDelay, *merged.TargetDelay)
+		where := ""
+		if zone != "" {
+			where = fmt.Sprintf(" in zone %s", zone)
+		}
+		switch {
+		case *merged.TargetDelay >= *merged.Timeout:
+			c.add(path+".settings.timeout", "is %v%s, but target-delay there is %v, which could never be reached; the timeout must be above the target-delay", *merged.Timeout, where, *merged.TargetDelay)
+			return
+		case route.Settings.Once != nil && *merged.Idempotent:
+			c.add(path+".settings.once", "has no meaning on an idempotent route%s; remove it or set idempotent to false", where)
+			return
+		}
 	}
-	if s.MaxBody != nil && (*s.MaxBody < 0 || *s.MaxBody > maxBody) {
-		c.add(path+".max-body", "is %d; it must be from 0 to %d bytes", *s.MaxBody, maxBody)
+}
+
+func (c *checker) organisationContradictions(r *reach, path string, s Settings) {
+	if s.Timeout != nil {
+		r.longest = max(r.longest, *s.Timeout)
+		if *s.Timeout <= r.longestDelay {
+			c.add(path+".timeout", "is %v, but the longest target-delay of a service is %v, which could never be reached; the timeout must be above it", *s.Timeout, r.longestDelay)
+		}
 	}
-	if s.Rate != nil && *s.Rate <= 0 {
-		c.add(path+".rate", "is %v; it must be above 0 requests a second", *s.Rate)
+	if !r.openEverywhere {
+		return
 	}
-	if s.Burst != nil && *s.Burst < 1 {
-		c.add(path+".burst", "is %v; it must be at least 1 request", *s.Burst)
+	for _, rule := range rules {
+		if rule.levels&LevelOrganisation != 0 && rule.set(&s) {
+			c.add(path+"."+rule.name, "has no effect, because every route is open and an open request belongs to no organisation; remove it or set open to false on a route")
+		}
 	}
 }
--- a/internal/mesh/tree/index.go
+++ b/internal/mesh/tree/index.go
@@ -45,8 +45,10 @@
 type route struct {
 	base mesh.Route
 
-	// byOrganisation holds the route for organisations that override it.
-	byOrganisation map[mesh.OrganisationName]*mesh.Route
+	// overrides holds the organisations that override request settings. All
+	// routes share it: a route for each organisation would take 950 x 500
+	// entries at the design size, so For makes them when they are needed.
+	overrides map[mesh.OrganisationName]Settings
 }
 
 // Index returns the tree as the named zone sees it. The tree must have passed
@@ -67,12 +69,24 @@
 	x.Zone = x.Zones[zone]
 	x.Zone.Name = zone
 	above := t.Zones[zone].Settings.over(fleet)
+	overrides := t.overrides()
 	for name, s := range t.Services {
-		x.services[name] = t.service(name, s, above)
+		x.services[name] = newService(name, s, above, overrides)
 	}
 	return x
 }
 
+// overrides returns the organisations that override request settings.
+func (t *Tree) overrides() (overrides map[mesh.OrganisationName]Settings) {
+	overrides = make(map[mesh.OrganisationName]Settings)
+	for name, own := range t.Organisations {
+		if own.Timeout != nil || own.Retries != nil || own.Class != nil || own.MaxBody != nil {
+			overrides[name] = own
+		}
+	}
+	return overrides
+}
+
 func (t *Tree) zones() (zones map[mesh.ZoneName]mesh.Zone) {
 	zones = make(map[mesh.ZoneName]mesh.Zone)
 	for name, z := range t.Zones {
@@ -90,7 +104,7 @@
 	return contracts
 }
 
-func (t *Tree) service(name mesh.ServiceName, s Service, above Settings) (resolved *service) {
+func newService(name mesh.ServiceName, s Service, above Settings, overrides map[mesh.OrganisationName]Settings) (resolved *service) {
 	settings := s.Settings.over(above)
 	resolved = &service{target: Target{
 		ColdLimit:   *settings.ColdLimit,
@@ -98,7 +112,8 @@
 		QueueLength: *settings.QueueLength,
 	}}
 	for routeName, r := range s.Routes {
-		resolved.routes = append(resolved.routes, t.route(name, routeName, r, settings))
+		base := mesh.Route{Service: name, Name: routeName, Path: r.Path, Methods: r.Methods}
+		resolved.routes = append(resolved.routes, route{base: fill(base, r.Settings.over(settings)), overrides: overrides})
 	}
 	slices.SortFunc(resolved.routes, func(a, b route) int {
 		if d := len(b.base.Path) - len(a.base.Path); d != 0 {
@@ -109,18 +124,6 @@
 	return resolved
 }
 
-func (t *Tree) route(serviceName mesh.ServiceName, name string, r Route, above Settings) (resolved route) {
-	settings := r.Settings.over(above)
-	base := mesh.Route{Service: serviceName, Name: name, Path: r.Path, Methods: r.Methods}
-	resolved = route{base: fill(base, settings), byOrganisation: make(map[mesh.OrganisationName]*mesh.Route)}
-	for organisation, own := range t.Organisations {
-		if own.Timeout != nil || own.Retries != nil || own.Class != nil || own.MaxBody != nil {
-			resolved.byOrganisation[organisation] = new(fill(base, own.over(settings)))
-		}
-	}
-	return resolved
-}
-
 func fill(base mesh.Route, s Settings) (r mesh.Route) {
 	r = base
 	r.Class = *s.Class
@@ -133,6 +136,24 @@
 	return r
 }
 
+// override returns the route with what an organisation overrides.
+func override(base mesh.Route, own Settings) (r *mesh.Route) {
+	r = &base
+	if own.Timeout != nil {
+		r.Timeout = *own.Timeout
+	}
+	if own.Retries != nil {
+		r.Retries = *own.Retries
+	}
+	if own.Class != nil {
+		r.Class = *own.Class
+	}
+	if own.MaxBody != nil {
+		r.MaxBody = *own.MaxBody
+	}
+	return r
+}
+
 // Target returns the target settings of a service.
 func (x *Index) Target(name mesh.ServiceName) (t Target, found bool) {
 	s, found := x.services[name]
@@ -179,8 +200,8 @@
 // For returns the route as it applies to the organisation, which is empty on
 // open routes.
 func (m Match) For(organisation mesh.OrganisationName) (r *mesh.Route) {
-	if own, found := m.route.byOrganisation[organisation]; found {
-		return own
+	if own, found := m.route.overrides[organisation]; found {
+		return override(m.route.base, own)
 	}
 	return &m.route.base
 }
--- a/internal/mesh/tree/tree.go
+++ b/internal/mesh/tree/tree.go
@@ -12,31 +12,75 @@
 // inherits from the level above.
 type Settings struct {
 	// Request settings, on every level.
+
+	// Timeout is the deadline of a request that brings none, and the longest
+	// that one may bring. From 1ms to 10m.
 	Timeout *time.Duration
+
+	// Retries is how many extra attempts a request may cause from end to end.
+	// From 0 to 16.
 	Retries *int
-	Class   *mesh.Class
+
+	// Class is the importance of requests: critical is shed last, low first.
+	Class *mesh.Class
+
+	// MaxBody is the largest request body, in bytes. From 0 to 64 MiB.
 	MaxBody *int64
 
 	// Route settings, on fleet, zone, service and route levels.
+
+	// Idempotent says that a request may run more than once.
 	Idempotent *bool
-	Open       *bool
-	Once       *mesh.OnceMode
+
+	// Open says that a request needs no key. It then belongs to no
+	// organisation.
+	Open *bool
+
+	// Once says where claims of non-idempotent requests are kept.
+	Once *mesh.OnceMode
 
 	// Target settings, on fleet, zone and service levels.
-	ColdLimit   *int
+
+	// ColdLimit is how many requests a target in a cold start runs at a
+	// time. From 1 to 100,000.
+	ColdLimit *int
+
+	// TargetDelay is the wait in the queue of a target above which the queue
+	// serves the newest request first. Above 0, at most 1m.
 	TargetDelay *time.Duration
+
+	// QueueLength is how many requests wait at one target. From 1 to 100,000.
 	QueueLength *int
 
 	// Contract settings, on fleet and organisation levels.
-	Rate   *float64
-	Burst  *float64
+
+	// Rate is in requests a second over all hosts. Above 0, at most 1e9.
+	Rate *float64
+
+	// Burst is in requests over all hosts. From 1 to 1e9.
+	Burst *float64
+
+	// Weight is an organisation's part of an overloaded target, relative to
+	// the others. From 1 to 1,000.
 	Weight *int
 
 	// Fleet settings, on the fleet level only.
+
+	// RetryRatio bounds retries over a link, as a part of its recent calls.
+	// From 0 to 1.
 	RetryRatio *float64
-	KeyGrace   *time.Duration
+
+	// KeyGrace is how long keys are accepted without a confirmation that no
+	// newer version exists at the platform. From 1s to 24h.
+	KeyGrace *time.Duration
+
+	// ShareLease is how long a host may use its share of a contract without
+	// contact to the platform. From 1s to 168h.
 	ShareLease *time.Duration
-	ClaimKeep  *time.Duration
+
+	// ClaimKeep is how long the claim of a non-idempotent request is kept.
+	// From 1s to 720h, and at least the longest timeout.
+	ClaimKeep *time.Duration
 }
 
 // Tree is a whole settings tree. The levels inherit in the order fleet, zone,
@@ -50,22 +94,31 @@
 
 // Zone is the level of an availability zone.
 type Zone struct {
-	Region   string
-	Out      bool
+	// Region names the region of the zone; it is required.
+	Region string
+
+	// Out takes the zone out of service.
+	Out bool
+
 	Settings Settings
 }
 
 // Service is the level of a service.
 type Service struct {
 	Settings Settings
-	Routes   map[string]Route
+
+	// Routes holds at least one route.
+	Routes map[string]Route
 }
 
 // Route is the level of a route.
 type Route struct {
-	// Path is a prefix that starts with a slash.
-	Path     string
-	Methods  []string
+	// Path is a prefix that starts with a slash and covers whole segments.
+	Path string
+
+	// Methods lists HTTP methods in capitals; empty means all.
+	Methods []string
+
 	Settings Settings
 }
 
