stub: late writes, limits and use without a network

Cause: the stand-in could not show a write that takes effect after its caller gave up, and served any number of requests, so a design that overloads the platform would have gone unnoticed. Ruled out: a token bucket for the limits; a window of one second is what the platform's figures speak of.

--- a/internal/mesh/store/store.go
+++ b/internal/mesh/store/store.go
@@ -120,15 +120,15 @@
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return errors.Join(mesh.ErrPlatformUnavailable, err)
+		return fmt.Errorf("%w: %w", mesh.ErrPlatformUnavailable, err)
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
 	switch {
 	case err != nil:
-		return errors.Join(mesh.ErrPlatformUnavailable, err)
+		return fmt.Errorf("%w: %w", mesh.ErrPlatformUnavailable, err)
 	case response.StatusCode >= http.StatusInternalServerError, response.StatusCode == http.StatusTooManyRequests:
-		return errors.Join(mesh.ErrPlatformUnavailable, &statusError{status: response.StatusCode, body: data})
+		return fmt.Errorf("%w: %w", mesh.ErrPlatformUnavailable, &statusError{status: response.StatusCode, body: data})
 	case response.StatusCode >= http.StatusBadRequest:
 		return &statusError{status: response.StatusCode, body: data}
 	}
--- a/internal/mesh/stub/stub.go
+++ b/internal/mesh/stub/stub.go
@@ -3,35 +3,76 @@
 package stub
 
 import (
-	"encoding/json"
-	"io"
-	"net/http"
-	"net/url"
+	"context"
+	"errors"
+	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/labstack/echo/v4"
-
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 )
 
+// Limits of the platform, in requests a second.
+const (
+	DefaultWrites = 500
+	DefaultReads  = 2000
+)
+
+// maxWrites is the largest number of writes in a transaction.
+const maxWrites = 100
+
+// Errors that stand for an answer which the caller cannot rely on.
+var (
+	errDown     = fmt.Errorf("%w: the platform is down", mesh.ErrPlatformUnavailable)
+	errLimit    = fmt.Errorf("%w: the platform is above its limit of requests", mesh.ErrPlatformUnavailable)
+	errNoAnswer = fmt.Errorf("%w: the answer was lost", mesh.ErrPlatformUnavailable)
+)
+
+// errTooMany refuses a transaction that is too large.
+var errTooMany = fmt.Errorf("a transaction takes from 1 to %d writes", maxWrites)
+
 // Faults are the failures that the stand-in shows.
 type Faults struct {
 	// Down makes every request fail before it takes effect.
 	Down bool `json:"down"`
 
-	// Delay is added to every request.
+	// Delay is added to every request. A write whose caller gives up during
+	// the delay takes effect all the same.
 	Delay time.Duration `json:"delay"`
 
 	// LoseAnswers is how many writes take effect without an answer.
 	LoseAnswers int `json:"lose-answers"`
+
+	// LateWrites is how many writes get no answer and take effect after
+	// LateBy.
+	LateWrites int `json:"late-writes"`
+
+	LateBy time.Duration `json:"late-by"`
+}
+
+// Counts are the requests since the start.
+type Counts struct {
+	// Reads and Writes are the requests that were served. A transaction is
+	// one write.
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+
+	// RefusedReads and RefusedWrites were above the limits.
+	RefusedReads  int64 `json:"refused-reads"`
+	RefusedWrites int64 `json:"refused-writes"`
+
+	// PeakReads and PeakWrites are the most that were served in one second.
+	PeakReads  int64 `json:"peak-reads"`
+	PeakWrites int64 `json:"peak-writes"`
 }
 
-// Stub is a platform in memory.
+// Stub is a platform in memory. It implements mesh.Platform, so that tests can
+// use it without a network.
 type Stub struct {
+	limits struct{ reads, writes int64 }
+
 	mu sync.Mutex
 
 	// sequence numbers row versions over all rows, so that a row that is
@@ -42,33 +83,31 @@
 	objects map[string][]byte
 	faults  Faults
 	counts  Counts
+	window  window
 }
 
-// Counts are the requests that took effect.
-type Counts struct {
-	Reads  int64 `json:"reads"`
-	Writes int64 `json:"writes"`
+// window counts the requests of the present second.
+type window struct {
+	start         time.Time
+	reads, writes int64
+}
+
+// Option changes a stand-in as it is made.
+type Option func(*Stub)
+
+// WithLimits sets how many writes and reads a second are served.
+func WithLimits(writes, reads int64) Option {
+	return func(s *Stub) { s.limits.writes, s.limits.reads = writes, reads }
 }
 
 // New returns an empty platform.
-func New() (s *Stub) {
-	return &Stub{rows: make(map[string]mesh.Row), objects: make(map[string][]byte)}
-}
-
-// Handler returns the platform's HTTP interface, with its fault switches at
-// /faults and its counters at /counts.
-func (s *Stub) Handler() (h http.Handler) {
-	e := echo.New()
-	e.GET("/faults", func(c echo.Context) error { return c.JSON(http.StatusOK, s.currentFaults()) })
-	e.PUT("/faults", s.setFaults)
-	e.GET("/counts", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Counts()) })
-	g := e.Group("", s.inject)
-	g.GET("/table/rows/:key", s.read)
-	g.GET("/table/rows", s.list)
-	g.POST("/table/commit", s.commit)
-	g.GET("/objects/:name", s.get)
-	g.PUT("/objects/:name", s.put)
-	return e
+func New(options ...Option) (s *Stub) {
+	s = &Stub{rows: make(map[string]mesh.Row), objects: make(map[string][]byte)}
+	s.limits.writes, s.limits.reads = DefaultWrites, DefaultReads
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // SetFaults switches failures on and off.
@@ -78,96 +117,188 @@
 	s.faults = f
 }
 
-// Counts returns how many requests took effect.
+// Faults returns the failures that are switched on.
+func (s *Stub) Faults() (f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counts returns how many requests there were.
 func (s *Stub) Counts() (counts Counts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.counts
 }
 
-func (s *Stub) currentFaults() (f Faults) {
+// Read implements mesh.Table.
+func (s *Stub) Read(ctx context.Context, key string) (row mesh.Row, found bool, err error) {
+	if err := s.beforeRead(ctx); err != nil {
+		return row, false, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults
+	row, found = s.rows[key]
+	return row, found, nil
 }
 
-func (s *Stub) setFaults(c echo.Context) (err error) {
-	var f Faults
-	if err := json.NewDecoder(c.Request().Body).Decode(&f); err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+// List implements mesh.Table.
+func (s *Stub) List(ctx context.Context, prefix, after string, limit int) (rows []mesh.Row, err error) {
+	if err := s.beforeRead(ctx); err != nil {
+		return nil, err
 	}
-	s.SetFaults(f)
-	return c.NoContent(http.StatusNoContent)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows = []mesh.Row{}
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b mesh.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
 }
 
-// inject applies the faults to a request.
-func (s *Stub) inject(next echo.HandlerFunc) echo.HandlerFunc {
-	return func(c echo.Context) (err error) {
-		f := s.currentFaults()
-		time.Sleep(f.Delay)
-		if f.Down {
-			return echo.NewHTTPError(http.StatusServiceUnavailable, "the platform is down")
-		}
-		return next(c)
+// Get implements mesh.Objects.
+func (s *Stub) Get(ctx context.Context, name string) (data []byte, err error) {
+	if err := s.beforeRead(ctx); err != nil {
+		return nil, err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, found := s.objects[name]
+	if !found {
+		return nil, mesh.ErrObjectNotFound
+	}
+	return data, nil
+}
+
+// Commit implements mesh.Table.
+func (s *Stub) Commit(ctx context.Context, writes []mesh.Write) (err error) {
+	if len(writes) == 0 || len(writes) > maxWrites {
+		return errTooMany
+	}
+	writes = slices.Clone(writes)
+	return s.write(ctx, func() error { return s.apply(writes) })
+}
+
+// Put implements mesh.Objects.
+func (s *Stub) Put(ctx context.Context, name string, data []byte) (err error) {
+	data = slices.Clone(data)
+	return s.write(ctx, func() error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.objects[name] = data
+		return nil
+	})
 }
 
-// loses reports whether the answer of a write is to be lost.
-func (s *Stub) loses() (lost bool) {
+// beforeRead counts a read and applies the faults to it.
+func (s *Stub) beforeRead(ctx context.Context) (err error) {
+	f, err := s.admit(s.countRead)
+	if err != nil {
+		return err
+	}
+	if left := pause(ctx, f.Delay); left > 0 {
+		return errors.Join(errNoAnswer, context.Cause(ctx))
+	}
+	return nil
+}
+
+// write counts a write, applies the faults to it and lets it take effect.
+func (s *Stub) write(ctx context.Context, effect func() error) (err error) {
+	if _, err := s.admit(s.countWrite); err != nil {
+		return err
+	}
+	f := s.takeFault()
+	if f.LateWrites > 0 {
+		time.AfterFunc(f.LateBy, func() { _ = effect() })
+		return errNoAnswer
+	}
+	if left := pause(ctx, f.Delay); left > 0 {
+		time.AfterFunc(left, func() { _ = effect() })
+		return errors.Join(errNoAnswer, context.Cause(ctx))
+	}
+	if err = effect(); f.LoseAnswers > 0 {
+		return errNoAnswer
+	}
+	return err
+}
+
+// admit returns the faults of one request, or why it is not served.
+func (s *Stub) admit(count func() bool) (f Faults, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.faults.LoseAnswers == 0 {
-		return false
+	s.openWindow(time.Now())
+	switch {
+	case s.faults.Down:
+		return f, errDown
+	case !count():
+		return f, errLimit
 	}
-	s.faults.LoseAnswers--
-	return true
+	return s.faults, nil
 }
 
-func (s *Stub) read(c echo.Context) (err error) {
+// takeFault uses up one of the faults that apply to a number of writes.
+func (s *Stub) takeFault() (f Faults) {
 	s.mu.Lock()
-	s.counts.Reads++
-	row, found := s.rows[unescape(c.Param("key"))]
-	s.mu.Unlock()
-	if !found {
-		return echo.NewHTTPError(http.StatusNotFound, "no such row")
+	defer s.mu.Unlock()
+	f = s.faults
+	switch {
+	case f.LateWrites > 0:
+		s.faults.LateWrites--
+	case f.LoseAnswers > 0:
+		s.faults.LoseAnswers--
 	}
-	return c.JSON(http.StatusOK, row)
+	return f
 }
 
-func (s *Stub) list(c echo.Context) (err error) {
-	limit, err := strconv.Atoi(c.QueryParam("limit"))
-	if err != nil || limit < 1 {
-		return echo.NewHTTPError(http.StatusBadRequest, "limit must be at least 1")
+func (s *Stub) openWindow(now time.Time) {
+	if now.Sub(s.window.start) >= time.Second {
+		s.window = window{start: now}
 	}
-	s.mu.Lock()
-	s.counts.Reads++
-	rows := []mesh.Row{}
-	for key, row := range s.rows {
-		if strings.HasPrefix(key, c.QueryParam("prefix")) && key > c.QueryParam("after") {
-			rows = append(rows, row)
-		}
+}
+
+func (s *Stub) countRead() (served bool) {
+	if s.window.reads >= s.limits.reads {
+		s.counts.RefusedReads++
+		return false
 	}
-	s.mu.Unlock()
-	slices.SortFunc(rows, func(a, b mesh.Row) int { return strings.Compare(a.Key, b.Key) })
-	return c.JSON(http.StatusOK, rows[:min(limit, len(rows))])
+	s.window.reads++
+	s.counts.Reads++
+	s.counts.PeakReads = max(s.counts.PeakReads, s.window.reads)
+	return true
 }
 
-func (s *Stub) commit(c echo.Context) (err error) {
-	var writes []mesh.Write
-	if err := json.NewDecoder(c.Request().Body).Decode(&writes); err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+func (s *Stub) countWrite() (served bool) {
+	if s.window.writes >= s.limits.writes {
+		s.counts.RefusedWrites++
+		return false
 	}
-	if current, conflict := s.apply(writes); conflict {
-		return c.JSON(http.StatusConflict, current)
+	s.window.writes++
+	s.counts.Writes++
+	s.counts.PeakWrites = max(s.counts.PeakWrites, s.window.writes)
+	return true
+}
+
+// pause waits and returns how much of the wait was left when ctx ended.
+func pause(ctx context.Context, d time.Duration) (left time.Duration) {
+	if d <= 0 {
+		return 0
 	}
-	if s.loses() {
-		panic(http.ErrAbortHandler)
+	started := time.Now()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return 0
+	case <-ctx.Done():
+		return max(time.Nanosecond, d-time.Since(started))
 	}
-	return c.NoContent(http.StatusNoContent)
 }
 
-// apply commits all writes or returns the first row whose condition fails.
-func (s *Stub) apply(writes []mesh.Write) (current mesh.Row, conflict bool) {
+// apply commits all writes or none.
+func (s *Stub) apply(writes []mesh.Write) (err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range writes {
@@ -176,10 +307,9 @@
 		case w.Condition == mesh.IfAbsent && found,
 			w.Condition == mesh.IfVersion && row.Version != w.Version:
 			row.Key = w.Key
-			return row, true
+			return &mesh.ConflictError{Current: row}
 		}
 	}
-	s.counts.Writes++
 	for _, w := range writes {
 		if w.Delete {
 			delete(s.rows, w.Key)
@@ -188,40 +318,5 @@
 		s.sequence++
 		s.rows[w.Key] = mesh.Row{Key: w.Key, Value: w.Value, Version: s.sequence}
 	}
-	return mesh.Row{}, false
-}
-
-func (s *Stub) get(c echo.Context) (err error) {
-	s.mu.Lock()
-	s.counts.Reads++
-	data, found := s.objects[unescape(c.Param("name"))]
-	s.mu.Unlock()
-	if !found {
-		return echo.NewHTTPError(http.StatusNotFound, "no such object")
-	}
-	return c.Blob(http.StatusOK, echo.MIMEOctetStream, data)
-}
-
-func (s *Stub) put(c echo.Context) (err error) {
-	data, err := io.ReadAll(c.Request().Body)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	s.counts.Writes++
-	s.objects[unescape(c.Param("name"))] = data
-	s.mu.Unlock()
-	if s.loses() {
-		panic(http.ErrAbortHandler)
-	}
-	return c.NoContent(http.StatusNoContent)
-}
-
-// unescape undoes the escaping that the router leaves in a path parameter.
-func unescape(parameter string) (text string) {
-	text, err := url.PathUnescape(parameter)
-	if err != nil {
-		return parameter
-	}
-	return text
+	return nil
 }
