--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -10,6 +11,8 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
 )
 
 // Exit statuses.
@@ -17,29 +20,49 @@
 	exitOK      = int(subcommands.ExitSuccess)
 	exitFailure = int(subcommands.ExitFailure)
 	exitUsage   = int(subcommands.ExitUsageError)
+
+	// exitPending says that a change was accepted and is not in force
+	// everywhere yet.
+	exitPending = 3
 )
 
+// streams are where a command writes to.
+type streams struct{ out, err io.Writer }
+
 // Execute runs the subcommand that the arguments name and returns the exit
 // status of the process.
 func Execute(ctx context.Context, args []string) (status int) {
+	return execute(ctx, args, streams{os.Stdout, os.Stderr})
+}
+
+func execute(ctx context.Context, args []string, to streams) (status int) {
 	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	flags.SetOutput(to.err)
 	commander := subcommands.NewCommander(flags, "quetzalstack")
+	commander.Output, commander.Error = to.out, to.err
 	commander.Register(commander.HelpCommand(), "help")
 	commander.Register(commander.FlagsCommand(), "help")
 	commander.Register(&nodeCommand{}, "processes")
 	commander.Register(&platformCommand{}, "stand-ins")
 	commander.Register(&sampleCommand{}, "stand-ins")
-	commander.Register(&settingsCommand{}, "operators")
-	commander.Register(&keyCommand{}, "operators")
+	commander.Register(&checkCommand{streams: to}, "operators")
+	commander.Register(&settingsCommand{operator: operator{streams: to}}, "operators")
+	commander.Register(&keyCommand{operator: operator{streams: to}}, "operators")
+	commander.Register(&statusCommand{operator: operator{streams: to}}, "operators")
+	commander.Register(&versionCommand{streams: to}, "help")
 	if err := flags.Parse(args[1:]); err != nil {
 		return exitUsage
 	}
 	return int(commander.Execute(ctx))
 }
 
-// fail prints why a command stops.
+// fail prints why a command stops, and what to do about it where that is
+// known.
 func fail(out io.Writer, err error) (status subcommands.ExitStatus) {
 	fmt.Fprintln(out, "quetzalstack:", err)
+	if errors.Is(err, mesh.ErrPlatformUnavailable) {
+		fmt.Fprintln(out, "quetzalstack: check the address given with -platform; if it is right, the platform is down or overloaded: try again later")
+	}
 	return subcommands.ExitFailure
 }
 
@@ -49,12 +72,35 @@
 	return subcommands.ExitUsageError
 }
 
+// positional returns the arguments that are no flags. Flags may stand before,
+// between and after them.
+func positional(f *flag.FlagSet) (args []string, err error) {
+	rest := f.Args()
+	for len(rest) > 0 {
+		args = append(args, rest[0])
+		if err := f.Parse(rest[1:]); err != nil {
+			return nil, err
+		}
+		rest = f.Args()
+	}
+	return args, nil
+}
+
 // addrFlag is a flag that holds an IP number and port. It falls back to an
 // environment variable.
-type addrFlag struct{ addr netip.AddrPort }
+type addrFlag struct {
+	addr netip.AddrPort
+
+	// err says why the environment variable was not usable.
+	err error
+}
 
 func newAddrFlag(variable string) (a addrFlag) {
-	a.addr, _ = netip.ParseAddrPort(os.Getenv(variable))
+	if text := os.Getenv(variable); text != "" {
+		if a.addr, a.err = netip.ParseAddrPort(text); a.err != nil {
+			a.err = fmt.Errorf("$%s: %w", variable, a.err)
+		}
+	}
 	return a
 }
 
@@ -68,6 +114,6 @@
 
 // Set implements flag.Value.
 func (a *addrFlag) Set(text string) (err error) {
-	a.addr, err = netip.ParseAddrPort(text)
-	return err
+	a.addr, a.err = netip.ParseAddrPort(text)
+	return a.err
 }
--- /dev/null
+++ b/internal/cmds/status.go
@@ -0,0 +1,116 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
+)
+
+// statusHistory is how many changes status looks at for pending keys.
+const statusHistory = 1000
+
+type statusCommand struct{ operator }
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "show what is in force and pending in each zone" }
+
+func (*statusCommand) Usage() string {
+	return `status
+  Shows the newest version, and for each zone the version in force at all its
+  live hosts, the hosts and changes of keys that are pending, and the targets
+  that take work. A zone tells this through the platform, so the age of its
+  report is shown too: a zone that is cut off keeps its last report.
+` + operatorUsage
+}
+
+func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) (status subcommands.ExitStatus) {
+	platform, args, err := c.open(f)
+	switch {
+	case err != nil:
+		return usage(c.err, "status: %v", err)
+	case len(args) > 0:
+		return usage(c.err, "status: takes no arguments, but got %q", args)
+	}
+	heads, err := admin.History(ctx, platform, statusHistory)
+	if err != nil {
+		return fail(c.err, err)
+	}
+	if len(heads) == 0 {
+		fmt.Fprintln(c.out, "there are no settings yet; make the first ones with `settings put FILE`")
+		return subcommands.ExitSuccess
+	}
+	progress, err := admin.ReadProgress(ctx, platform, heads[0].Version)
+	if err != nil {
+		return fail(c.err, err)
+	}
+	fmt.Fprintf(c.out, "newest version: %d (%s by %s)\n", heads[0].Version, heads[0].Change, heads[0].By)
+	for _, z := range progress.Zones {
+		c.zone(time.Now(), z, heads)
+	}
+	if progress.Pending() {
+		return exitPending
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *statusCommand) zone(now time.Time, z admin.ZoneProgress, heads []admin.Head) {
+	fmt.Fprintf(c.out, "%s: %s\n", z.Zone, zoneLine(z, heads[0].Version))
+	if !z.Reported {
+		return
+	}
+	fmt.Fprintf(c.out, "  reported %v ago by %s\n", now.Sub(z.Report.At).Round(time.Second), z.Report.By)
+	fmt.Fprintf(c.out, "  changes of keys pending: %d\n", keysPending(heads, z.Report.InForce))
+	fmt.Fprintf(c.out, "  targets: %s\n", targetList(z.Report.Targets))
+}
+
+// keysPending counts the changes of keys after a version.
+func keysPending(heads []admin.Head, inForce uint64) (count int) {
+	for _, h := range heads {
+		if h.Version > inForce && h.Kind != admin.KindSettings {
+			count++
+		}
+	}
+	return count
+}
+
+func targetList(targets map[mesh.ServiceName]int) (text string) {
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(targets)) {
+		list = append(list, fmt.Sprintf("%s %d", name, targets[name]))
+	}
+	if len(list) == 0 {
+		return "none"
+	}
+	return strings.Join(list, ", ")
+}
+
+type versionCommand struct{ streams }
+
+func (*versionCommand) Name() string           { return "version" }
+func (*versionCommand) Synopsis() string       { return "print the version of this program" }
+func (*versionCommand) Usage() string          { return "version\n  Prints the version of this program.\n" }
+func (*versionCommand) SetFlags(*flag.FlagSet) {}
+
+func (c *versionCommand) Execute(context.Context, *flag.FlagSet, ...any) (status subcommands.ExitStatus) {
+	version, revision := "unknown", ""
+	if info, found := debug.ReadBuildInfo(); found {
+		version = info.Main.Version + " " + info.GoVersion
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = " " + s.Value
+			}
+		}
+	}
+	fmt.Fprintln(c.out, "quetzalstack", version+revision)
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/mesh/admin/admin_test.go
@@ -0,0 +1,178 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
+)
+
+// overtaken loses the answer of one commit and lets another operator make the
+// next version before the first one can look.
+type overtaken struct {
+	mesh.Platform
+	then func()
+}
+
+func (p *overtaken) Commit(ctx context.Context, writes []mesh.Write) (err error) {
+	err = p.Platform.Commit(ctx, writes)
+	if p.then == nil {
+		return err
+	}
+	p.then()
+	p.then = nil
+	return mesh.ErrPlatformUnavailable
+}
+
+// TestLostAnswer guards against an operator who is told that a change failed
+// although it took effect, also when a later version stands on top of it.
+func TestLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, ctx := stub.New(), t.Context()
+		p := &overtaken{Platform: s, then: func() {
+			if _, err := Put(ctx, s, "bob", treeText(2)); err != nil {
+				t.Fatal(err)
+			}
+		}}
+		head, err := Put(ctx, p, "ann", treeText(1))
+		if err != nil || head.Version != 1 {
+			t.Errorf("got %+v and %v, want version 1", head, err)
+		}
+		heads, err := History(ctx, s, 10)
+		if err != nil || len(heads) != 2 || heads[0].By != "bob" || heads[1].By != "ann" {
+			t.Errorf("history: got %+v and %v, want bob's version on top of ann's", heads, err)
+		}
+	})
+}
+
+// TestLateWrite guards against a write that takes effect a second time, after
+// its operator has moved on.
+func TestLateWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, ctx := stub.New(), t.Context()
+		p := &overtaken{Platform: s, then: func() {}}
+		s.SetFaults(stub.Faults{LateWrites: 1, LateBy: time.Minute, Every: 3})
+		head, err := Put(ctx, p, "ann", treeText(1))
+		if err != nil || head.Version != 1 {
+			t.Fatalf("got %+v and %v, want version 1", head, err)
+		}
+		if head, err = Put(ctx, s, "ann", treeText(2)); err != nil || head.Version != 2 {
+			t.Fatalf("got %+v and %v, want version 2", head, err)
+		}
+		time.Sleep(time.Hour)
+		if got, err := ReadHead(ctx, s); err != nil || got.Nonce != head.Nonce {
+			t.Errorf("after the late write: got %+v and %v, want %+v", got, err, head)
+		}
+	})
+}
+
+// TestConflicts guards against a settings tree that overwrites another
+// operator's, and against changes of keys that stand in the way of others.
+func TestConflicts(t *testing.T) {
+	s, ctx := stub.New(), t.Context()
+	must := func(head Head, err error) (version uint64) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return head.Version
+	}
+	hash := mesh.HashKey("k")
+	base := must(Put(ctx, s, "ann", treeText(1)))
+	must(Give(ctx, s, "bob", "o", hash))
+	if got := must(Put(ctx, s, "ann", treeText(2), WithBase(base))); got != 3 {
+		t.Errorf("after a key was given: got version %d, want 3", got)
+	}
+	_, err := Put(ctx, s, "bob", treeText(3), WithBase(base))
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) || conflict.Winner.By != "ann" || conflict.Winner.Version != 3 {
+		t.Errorf("after another tree: got %v, want a conflict with ann's version 3", err)
+	}
+	for _, c := range []struct {
+		name string
+		err  error
+		want string
+	}{
+		{"base from the future", second(Put(ctx, s, "bob", treeText(3), WithBase(9))), "the newest version is 3"},
+		{"organisation with keys", second(Put(ctx, s, "bob", []byte("zones: {a: {region: r}}"))), `"o" is not in the tree but has 1 keys`},
+		{"refused tree", second(Put(ctx, s, "bob", []byte("zones: {a: {}}"))), "region: is missing"},
+		{"key of nobody", second(Give(ctx, s, "bob", "x", mesh.HashKey("2"))), `organisation "x" is not in the settings tree`},
+		{"key given twice", second(Give(ctx, s, "bob", "o", hash)), ErrKeyExists.Error()},
+		{"unknown key", second(Withdraw(ctx, s, "bob", mesh.HashKey("2"))), ErrKeyUnknown.Error()},
+	} {
+		if c.err == nil || !strings.Contains(c.err.Error(), c.want) {
+			t.Errorf("%s: got %v, want %q", c.name, c.err, c.want)
+		}
+	}
+	if got := must(ReadHead(ctx, s)); got != 3 {
+		t.Errorf("after refusals: got version %d, want 3", got)
+	}
+	if got := must(Withdraw(ctx, s, "bob", hash)); got != 4 {
+		t.Errorf("withdrawal: got version %d, want 4", got)
+	}
+	if got := must(Withdraw(ctx, s, "bob", hash)); got != 4 {
+		t.Errorf("second withdrawal: got version %d, want 4", got)
+	}
+}
+
+func second(_ Head, err error) error { return err }
+
+// TestProgress guards against a version that is called in force in a zone
+// whose hosts have not all said so.
+func TestProgress(t *testing.T) {
+	reports := map[mesh.ZoneName]ZoneReport{
+		"a": {Hosts: 2, InForce: 5, Newest: 5},
+		"b": {Hosts: 2, InForce: 4, Newest: 5, Pending: 1},
+		"c": {Hosts: 2, InForce: 6, Newest: 6},
+		"d": {Hosts: 0, InForce: 9},
+	}
+	p := NewProgress(5, []mesh.ZoneName{"a", "e"}, reports)
+	want := map[mesh.ZoneName]bool{"a": true, "b": false, "c": true, "d": false, "e": false}
+	for _, z := range p.Zones {
+		if z.InForce != want[z.Zone] {
+			t.Errorf("zone %s: got in force=%t, want %t", z.Zone, z.InForce, want[z.Zone])
+		}
+	}
+	if len(p.Zones) != len(want) || !p.Pending() {
+		t.Errorf("got %+v, want %d zones, some pending", p, len(want))
+	}
+}
+
+// TestAwait guards against a wait without end and against one that ends
+// before the version is in force.
+func TestAwait(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		inForce time.Duration
+		wait    time.Duration
+		took    time.Duration
+		pending bool
+	}{
+		{"in time", 3 * time.Second, 17 * time.Second, 3 * time.Second, false},
+		{"too late", time.Minute, 17 * time.Second, 17 * time.Second, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s, ctx := stub.New(), t.Context()
+			if _, err := Put(ctx, s, "ann", treeText(1)); err != nil {
+				t.Fatal(err)
+			}
+			time.AfterFunc(c.inForce, func() {
+				_ = s.Commit(ctx, []mesh.Write{{Key: ZoneKey("a"), Value: []byte(`{"zone":"a","in-force":1,"hosts":1}`)}})
+			})
+			started := time.Now()
+			p, err := Await(ctx, s, 1, c.wait)
+			if err != nil || p.Pending() != c.pending {
+				t.Errorf("%s: got %+v and %v, want pending=%t", c.name, p, err, c.pending)
+			}
+			if took := time.Since(started); took > c.wait || took < c.took-time.Second {
+				t.Errorf("%s: waited %v, want about %v", c.name, took, c.took)
+			}
+			time.Sleep(time.Hour)
+		})
+	}
+}
--- /dev/null
+++ b/internal/mesh/admin/history_test.go
@@ -0,0 +1,307 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
+)
+
+// distant is a platform that takes a while to reach. It gives up on requests
+// that take longer than the platform's client would wait.
+type distant struct {
+	mesh.Platform
+	random *rand.Rand
+}
+
+func (p distant) travel(ctx context.Context) (limited context.Context, cancel context.CancelFunc) {
+	time.Sleep(time.Duration(p.random.IntN(300)) * time.Millisecond)
+	return context.WithTimeout(ctx, 2*time.Second)
+}
+
+func (p distant) Read(ctx context.Context, key string) (row mesh.Row, found bool, err error) {
+	ctx, cancel := p.travel(ctx)
+	defer cancel()
+	return p.Platform.Read(ctx, key)
+}
+
+func (p distant) Commit(ctx context.Context, writes []mesh.Write) (err error) {
+	ctx, cancel := p.travel(ctx)
+	defer cancel()
+	return p.Platform.Commit(ctx, writes)
+}
+
+func (p distant) Put(ctx context.Context, name string, data []byte) (err error) {
+	ctx, cancel := p.travel(ctx)
+	defer cancel()
+	return p.Platform.Put(ctx, name, data)
+}
+
+// treeText returns a valid tree that a number tells apart.
+func treeText(n int) (text []byte) {
+	return fmt.Appendf(nil, "settings: {timeout: %dms}\nzones: {a: {region: r}}\norganisations: {o: {}}\n", 100+n)
+}
+
+// input is what an operator asks for.
+type input struct {
+	op   string
+	base uint64
+	text string
+	key  string
+}
+
+// output is what the operator was told.
+type output struct {
+	result  string
+	version uint64
+	state   state
+}
+
+// state is what the platform stands for.
+type state struct {
+	version, tree uint64
+	text          string
+
+	// keys lists key=withdrawn, sorted.
+	keys string
+}
+
+func (s state) key(name string) (known, withdrawn bool) {
+	return strings.Contains(s.keys, name+"="), strings.Contains(s.keys, name+"=true;")
+}
+
+// next returns the state after a change that takes effect.
+func (s state) next(in input) (next state) {
+	next = s
+	next.version++
+	switch in.op {
+	case "put":
+		next.tree, next.text = next.version, in.text
+	case "give":
+		list := append(strings.SplitAfter(s.keys, ";"), in.key+"=false;")
+		slices.Sort(list)
+		next.keys = strings.Join(list, "")
+	case "withdraw":
+		next.keys = strings.Replace(s.keys, in.key+"=false;", in.key+"=true;", 1)
+	}
+	return next
+}
+
+// fits reports whether a change may take effect.
+func (s state) fits(in input) (fits bool) {
+	known, withdrawn := s.key(in.key)
+	switch in.op {
+	case "put":
+		return s.tree <= in.base
+	case "give":
+		return s.tree > 0 && !known
+	default:
+		return known && !withdrawn
+	}
+}
+
+// operatorModel is settings and keys as one operator after the other would
+// change them.
+var operatorModel = porcupine.Model{
+	Init: func() any { return state{} },
+	Step: func(s, i, o any) (bool, any) { return stepModel(s.(state), i.(input), o.(output)) },
+}
+
+func stepModel(s state, in input, out output) (valid bool, next any) {
+	_, withdrawn := s.key(in.key)
+	switch {
+	case in.op == "get":
+		return out.state == s, s
+	case out.result == "ok" && in.op == "withdraw" && withdrawn:
+		return out.version == s.version, s
+	case out.result == "ok":
+		return s.fits(in) && out.version == s.version+1, s.next(in)
+	case out.result == "conflict":
+		return s.tree > in.base && out.version == s.tree, s
+	case out.result == "unknown" && s.fits(in):
+		// A change that never took effect is ordered after all others.
+		return true, s.next(in)
+	default:
+		return true, s
+	}
+}
+
+// desk is an operator who works at the platform and keeps a record.
+type desk struct {
+	platform mesh.Platform
+	clock    *atomic.Int64
+	number   int
+	random   *rand.Rand
+	record   []porcupine.Operation
+}
+
+func (d *desk) do(ctx context.Context, in input) {
+	called := d.clock.Add(1)
+	out, definite := d.send(ctx, in)
+	op := porcupine.Operation{ClientId: d.number, Input: in, Call: called, Output: out, Return: d.clock.Add(1)}
+	if out.result == "unknown" {
+		op.Return = math.MaxInt64
+	}
+	if definite {
+		d.record = append(d.record, op)
+	}
+}
+
+// send reports false when the operator learned nothing and changed nothing.
+func (d *desk) send(ctx context.Context, in input) (out output, definite bool) {
+	var head Head
+	var err error
+	by := fmt.Sprint("operator-", d.number)
+	switch in.op {
+	case "put":
+		head, err = Put(ctx, d.platform, by, []byte(in.text), WithBase(in.base))
+	case "give":
+		head, err = Give(ctx, d.platform, by, "o", mesh.HashKey(in.key))
+	case "withdraw":
+		head, err = Withdraw(ctx, d.platform, by, mesh.HashKey(in.key))
+	case "get":
+		out.state, err = d.get(ctx)
+		return out, err == nil
+	}
+	var conflict *ConflictError
+	var unknown *UnknownError
+	switch {
+	case err == nil:
+		return output{result: "ok", version: head.Version}, true
+	case errors.As(err, &unknown):
+		return output{result: "unknown"}, true
+	case errors.As(err, &conflict):
+		return output{result: "conflict", version: conflict.Winner.Version}, true
+	default:
+		return out, false
+	}
+}
+
+func (d *desk) get(ctx context.Context) (s state, err error) {
+	head, snapshot, err := Current(ctx, d.platform)
+	if err != nil {
+		return s, err
+	}
+	s = state{version: head.Version, tree: head.TreeVersion, text: string(snapshot.Text)}
+	var list []string
+	for _, name := range keyNames {
+		if k, found := snapshot.Keys[mesh.HashKey(name)]; found {
+			list = append(list, fmt.Sprintf("%s=%t;", name, k.Withdrawn))
+		}
+	}
+	slices.Sort(list)
+	s.keys = strings.Join(list, "")
+	return s, nil
+}
+
+var keyNames = []string{"k0", "k1", "k2", "k3", "k4", "k5"}
+
+// work makes changes that often stand in each other's way.
+func (d *desk) work(ctx context.Context, count int) {
+	for range count {
+		time.Sleep(time.Duration(d.random.IntN(3000)) * time.Millisecond)
+		key := keyNames[d.random.IntN(len(keyNames))]
+		switch d.random.IntN(4) {
+		case 0:
+			head, err := ReadHead(ctx, d.platform)
+			if err != nil {
+				continue
+			}
+			time.Sleep(time.Duration(d.random.IntN(1000)) * time.Millisecond)
+			d.do(ctx, input{op: "put", base: head.Version, text: string(treeText(d.random.IntN(1000)))})
+		case 1:
+			d.do(ctx, input{op: "give", key: key})
+		case 2:
+			d.do(ctx, input{op: "withdraw", key: key})
+		default:
+			d.do(ctx, input{op: "get"})
+		}
+	}
+}
+
+// longestTrouble is how long one kind of fault lasts at most, in milliseconds.
+// It is above the time that a change waits for the platform.
+const longestTrouble = 25_000
+
+// trouble switches faults on and off until ctx ends.
+func trouble(ctx context.Context, s *stub.Stub, random *rand.Rand) {
+	for ctx.Err() == nil {
+		f := stub.Faults{LateBy: time.Duration(random.IntN(15000)) * time.Millisecond, Every: 1 + random.IntN(4)}
+		switch random.IntN(7) {
+		case 0, 5:
+			f.Down = true
+		case 1:
+			f.Delay = time.Duration(random.IntN(4000)) * time.Millisecond
+		case 2, 3:
+			f.LoseAnswers = 1 + random.IntN(20)
+		case 4:
+			f.LateWrites = 1 + random.IntN(20)
+		}
+		s.SetFaults(f)
+		pause(ctx, time.Duration(random.IntN(longestTrouble))*time.Millisecond)
+	}
+}
+
+// TestOperatorsModel guards against operators who overwrite each other or are
+// told something else than what happened, while the platform loses answers,
+// delays writes and is down.
+func TestOperatorsModel(t *testing.T) {
+	results := make(map[string]int)
+	for seed := range uint64(150) {
+		synctest.Test(t, func(t *testing.T) {
+			record := runOperators(t, seed)
+			if got := porcupine.CheckOperationsTimeout(operatorModel, record, time.Minute); got != porcupine.Ok {
+				t.Errorf("seed %d: history of %d changes: got %v, want %v", seed, len(record), got, porcupine.Ok)
+			}
+			for _, op := range record {
+				results[op.Input.(input).op+" "+op.Output.(output).result]++
+			}
+		})
+	}
+	for _, name := range slices.Sorted(maps.Keys(results)) {
+		t.Logf("%s: %d", name, results[name])
+	}
+}
+
+func runOperators(t *testing.T, seed uint64) (record []porcupine.Operation) {
+	s := stub.New()
+	ctx, cancel := context.WithCancel(t.Context())
+	var clock atomic.Int64
+	var desks sync.WaitGroup
+	var all []*desk
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		trouble(ctx, s, rand.New(rand.NewPCG(seed, 0)))
+	}()
+	for i := range 4 {
+		random := rand.New(rand.NewPCG(seed, uint64(1+i)))
+		d := &desk{platform: distant{s, random}, clock: &clock, number: i, random: random}
+		all = append(all, d)
+		desks.Go(func() { d.work(ctx, 16) })
+	}
+	desks.Wait()
+	cancel()
+	<-done
+	s.SetFaults(stub.Faults{})
+	time.Sleep(time.Minute)
+	all[0].do(t.Context(), input{op: "get"})
+	for _, d := range all {
+		record = append(record, d.record...)
+	}
+	return record
+}
--- /dev/null
+++ b/internal/mesh/config/change.go
@@ -0,0 +1,104 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"maps"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// ErrMismatch means that a change does not fit the snapshot it was applied to,
+// so that the whole snapshot has to be fetched.
+var ErrMismatch = errors.New("change does not fit the version in force")
+
+// Change leads from one version to the next.
+type Change struct {
+	// Version is one above the version that the change applies to.
+	Version uint64
+
+	Nonce string
+
+	// Tree is nil when the tree stays as it is.
+	Tree *TreeEdit
+
+	// Keys holds the keys that are new or were withdrawn.
+	Keys map[mesh.KeyHash]Key
+}
+
+// TreeEdit replaces the middle of a text. Most changes touch one place of a
+// tree that has a few hundred kilobytes.
+type TreeEdit struct {
+	// KeepStart and KeepEnd are how many bytes of the old text stay. They
+	// never overlap.
+	KeepStart, KeepEnd int
+
+	Insert []byte
+
+	// Sum is the hash of the new text.
+	Sum [sha256.Size]byte
+}
+
+// Diff returns the change that leads from one snapshot to the next.
+func Diff(from, to *Snapshot) (c Change) {
+	c = Change{Version: to.Version, Nonce: to.Nonce, Keys: make(map[mesh.KeyHash]Key)}
+	if !bytes.Equal(from.Text, to.Text) {
+		c.Tree = edit(from.Text, to.Text)
+	}
+	for hash, key := range to.Keys {
+		if old, found := from.Keys[hash]; !found || old != key {
+			c.Keys[hash] = key
+		}
+	}
+	return c
+}
+
+func edit(from, to []byte) (e *TreeEdit) {
+	e = &TreeEdit{Sum: sha256.Sum256(to)}
+	shorter := min(len(from), len(to))
+	for e.KeepStart < shorter && from[e.KeepStart] == to[e.KeepStart] {
+		e.KeepStart++
+	}
+	for e.KeepEnd < shorter-e.KeepStart && from[len(from)-1-e.KeepEnd] == to[len(to)-1-e.KeepEnd] {
+		e.KeepEnd++
+	}
+	e.Insert = to[e.KeepStart : len(to)-e.KeepEnd]
+	return e
+}
+
+// Apply returns the snapshot that a change leads to, or ErrMismatch. Its Tree
+// is nil when the text changed and has yet to be parsed.
+func (s *Snapshot) Apply(c Change) (next *Snapshot, err error) {
+	if c.Version != s.Version+1 {
+		return nil, fmt.Errorf("change to %d at %d: %w", c.Version, s.Version, ErrMismatch)
+	}
+	next = &Snapshot{Version: c.Version, Nonce: c.Nonce, Text: s.Text, Tree: s.Tree, Keys: maps.Clone(s.Keys)}
+	if next.Keys == nil {
+		next.Keys = make(map[mesh.KeyHash]Key)
+	}
+	for hash, key := range c.Keys {
+		key.Withdrawn = key.Withdrawn || s.Keys[hash].Withdrawn
+		next.Keys[hash] = key
+	}
+	if c.Tree == nil {
+		return next, nil
+	}
+	next.Tree = nil
+	next.Text, err = c.Tree.apply(s.Text)
+	return next, err
+}
+
+func (e *TreeEdit) apply(text []byte) (edited []byte, err error) {
+	if e.KeepStart < 0 || e.KeepEnd < 0 || e.KeepStart+e.KeepEnd > len(text) {
+		return nil, fmt.Errorf("edit of a text of %d bytes: %w", len(text), ErrMismatch)
+	}
+	edited = append(edited, text[:e.KeepStart]...)
+	edited = append(edited, e.Insert...)
+	edited = append(edited, text[len(text)-e.KeepEnd:]...)
+	if sha256.Sum256(edited) != e.Sum {
+		return nil, fmt.Errorf("edit leads to another text: %w", ErrMismatch)
+	}
+	return edited, nil
+}
--- /dev/null
+++ b/internal/mesh/config/change_test.go
@@ -0,0 +1,110 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// TestChangeModel guards against a node that follows changes and ends with
+// other settings or keys than one that loads the snapshot.
+func TestChangeModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.SliceOfN(rapid.SampledFrom([]byte("ab\n")), 0, 12)
+		from := &Snapshot{Version: 1, Text: text.Draw(t, "from"), Keys: map[mesh.KeyHash]Key{}}
+		for i := range rapid.IntRange(0, 3).Draw(t, "old keys") {
+			from.Keys[mesh.HashKey(fmt.Sprint(i))] = Key{Organisation: "o"}
+		}
+		to := &Snapshot{Version: 2, Nonce: "n", Text: text.Draw(t, "to"), Keys: maps.Clone(from.Keys)}
+		for i := range rapid.IntRange(0, 5).Draw(t, "new keys") {
+			to.Keys[mesh.HashKey(fmt.Sprint(i))] = Key{Organisation: "o", Withdrawn: rapid.Bool().Draw(t, "withdrawn")}
+		}
+		got, err := from.Apply(Diff(from, to))
+		if err != nil || string(got.Text) != string(to.Text) || !maps.Equal(got.Keys, to.Keys) || got.Version != 2 || got.Nonce != "n" {
+			t.Fatalf("got %+v and %v, want %+v", got, err, to)
+		}
+	})
+}
+
+// TestChangeMismatch guards against a change that is applied to a version it
+// was not made for, and against a key that comes back after its withdrawal.
+func TestChangeMismatch(t *testing.T) {
+	hash := mesh.HashKey("k")
+	base := &Snapshot{Version: 1, Text: []byte("one two"), Keys: map[mesh.KeyHash]Key{hash: {"o", true}}}
+	next := &Snapshot{Version: 2, Text: []byte("one three two"), Keys: map[mesh.KeyHash]Key{hash: {"o", false}}}
+	c := Diff(base, next)
+	for name, s := range map[string]*Snapshot{
+		"later version": {Version: 2, Text: base.Text},
+		"other text":    {Version: 1, Text: []byte("one 2 two")},
+		"shorter text":  {Version: 1, Text: []byte("o")},
+	} {
+		if _, err := s.Apply(c); !errors.Is(err, ErrMismatch) {
+			t.Errorf("%s: got %v, want %v", name, err, ErrMismatch)
+		}
+	}
+	if got, err := base.Apply(c); err != nil || !got.Keys[hash].Withdrawn {
+		t.Errorf("got %+v and %v, want the key still withdrawn", got, err)
+	}
+}
+
+// TestCoverage guards against a report that calls a version in force while a
+// live host has not said so in its present incarnation.
+func TestCoverage(t *testing.T) {
+	hosts := map[netip.AddrPort]mesh.Host{}
+	add := func(i int, zone mesh.ZoneName, state mesh.HostState) {
+		hosts[hostAddr(i)] = mesh.Host{Addr: hostAddr(i), Zone: zone, Incarnation: 5, State: state}
+	}
+	add(0, "a", mesh.HostAlive)
+	add(1, "a", mesh.HostDraining)
+	add(2, "a", mesh.HostSuspect)
+	add(3, "a", mesh.HostLeft)
+	add(4, "b", mesh.HostAlive)
+	a := NewAcks()
+	for _, c := range []struct {
+		name    string
+		acked   Acked
+		inForce uint64
+		pending []netip.AddrPort
+	}{
+		{"nobody else reported", Acked{hostAddr(0), 5, 7}, 0, []netip.AddrPort{hostAddr(1)}},
+		{"report of an earlier life", Acked{hostAddr(1), 4, 7}, 0, []netip.AddrPort{hostAddr(1)}},
+		{"older version", Acked{hostAddr(1), 5, 6}, 6, []netip.AddrPort{hostAddr(1)}},
+		{"newest version", Acked{hostAddr(1), 5, 7}, 7, nil},
+		{"late report of an older version", Acked{hostAddr(1), 5, 6}, 7, nil},
+		{"new life without a version", Acked{hostAddr(0), 6, 0}, 0, []netip.AddrPort{hostAddr(0)}},
+	} {
+		a.Take(c.acked)
+		got := a.Coverage("a", 7, hosts)
+		if got.InForce != c.inForce || !slices.Equal(got.Pending, c.pending) || got.Hosts != 2 || got.Silent != 1 {
+			t.Errorf("%s: got %+v, want version %d in force, pending %v, 2 hosts, 1 silent", c.name, got, c.inForce, c.pending)
+		}
+	}
+}
+
+// TestPollers guards against zones that nobody polls for, against more load on
+// the platform than three hosts per zone, and against a change of all pollers
+// when one host goes.
+func TestPollers(t *testing.T) {
+	hosts := map[netip.AddrPort]mesh.Host{}
+	for i := range 40 {
+		hosts[hostAddr(i)] = mesh.Host{Addr: hostAddr(i), Zone: mesh.ZoneName([]string{"a", "b"}[i%2])}
+	}
+	before := Pollers("a", hosts)
+	if len(before) != pollerCount {
+		t.Fatalf("got %v, want %d pollers", before, pollerCount)
+	}
+	gone := hosts[before[0]]
+	gone.State = mesh.HostSuspect
+	hosts[before[0]] = gone
+	after := Pollers("a", hosts)
+	if !slices.Equal(after[:2], before[1:]) || hosts[after[2]].Zone != "a" {
+		t.Errorf("got %v, want %v and one more of the zone", after, before[1:])
+	}
+}
--- a/internal/mesh/node/config.go
+++ b/internal/mesh/node/config.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"expvar"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -12,27 +11,40 @@
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
-	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/roster"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
 )
 
 const (
 	configRing = 64
 
-	// pollInterval is how often a poller reads the head at the platform.
+	// pollInterval is how often a poller reads the head at the platform and
+	// writes the row of its zone, if that changed.
 	pollInterval = 2 * time.Second
 
 	// compareInterval is how often a node compares versions with a peer.
 	compareInterval = time.Second
+
+	// pushCount is how many peers hear of a new version at once.
+	pushCount = 3
+
+	// startPolls is how many intervals pass on average between two reads of
+	// the head by a node that is no poller and has no version yet, so that
+	// a fleet that starts at once stays below the platform's limit.
+	startPolls = 4
+
+	// changeCount is how many changes are kept for peers that are behind.
+	changeCount = 16
 )
 
 // configDuty owns the version of settings and keys in force. Full ring: a
 // version that was heard of is dropped, since it will be heard of again.
 type configDuty struct {
 	self     netip.AddrPort
+	zone     mesh.ZoneName
 	state    *config.State
 	events   *ring.Ring
 	platform *platformDuty
@@ -40,18 +52,46 @@
 	roster   *rosterDuty
 	client   *http.Client
 	view     atomic.Pointer[config.View]
-	snapshot atomic.Pointer[config.Snapshot]
+	held     atomic.Pointer[held]
 	seeds    []netip.AddrPort
 	log      logs.Log
+
+	started time.Time
+
+	// polling is true while a read of the head is on its way.
+	polling bool
+
+	// pollers are those of this zone in the roster view pollersOf.
+	pollers   []netip.AddrPort
+	pollersOf *roster.View
+
+	// reported is what each poller is known to have taken from this node.
+	reported map[netip.AddrPort]report
+	acks     *config.Acks
+	row      zoneRow
+}
+
+// held is what peers may fetch. It is immutable.
+type held struct {
+	snapshot *config.Snapshot
+
+	// changes lead to snapshot, oldest first, without gaps.
+	changes []*wire.Change
+
+	// packed is snapshot as peers receive it.
+	packed []byte
 }
 
 func newConfigDuty(vars *expvar.Map, s Settings, log logs.Log) (d *configDuty) {
 	return &configDuty{
-		self:   s.PeerListen,
-		state:  config.New(s.Zone),
-		events: ring.New(vars, "config", configRing),
-		seeds:  s.Peers,
-		log:    log,
+		self:     s.PeerListen,
+		zone:     s.Zone,
+		state:    config.New(s.Zone),
+		events:   ring.New(vars, "config", configRing),
+		seeds:    s.Peers,
+		log:      log,
+		reported: make(map[netip.AddrPort]report),
+		acks:     config.NewAcks(),
 	}
 }
 
@@ -67,6 +107,7 @@
 	defer poll.Stop()
 	compare := time.NewTicker(compareInterval)
 	defer compare.Stop()
+	d.started = time.Now()
 	d.poll()
 	d.compare()
 	for {
@@ -74,15 +115,37 @@
 		case <-ctx.Done():
 			return nil
 		case e := <-d.events.Events():
-			d.apply(d.state.Step(time.Now(), e))
-		case <-poll.C:
-			d.poll()
-		case <-compare.C:
+			d.take(time.Now(), e)
+		case now := <-poll.C:
+			d.pollOnTurn()
+			d.writeRow(now)
+		case now := <-compare.C:
+			d.apply(d.state.Step(now, config.Tick{}))
 			d.compare()
+			d.acknowledge()
 		}
 	}
 }
 
+// take hands an event to the one it is for.
+func (d *configDuty) take(now time.Time, event mesh.Event) {
+	switch e := event.(type) {
+	case polled:
+		d.polling = false
+	case config.Acked:
+		d.acks.Take(e)
+	case reportTaken:
+		d.reported[e.poller] = e.report
+	case rowWritten:
+		d.row.written(e)
+	case fetched:
+		d.keep(e)
+		d.apply(d.state.Step(now, e.loaded))
+	default:
+		d.apply(d.state.Step(now, event))
+	}
+}
+
 func (d *configDuty) apply(actions []config.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -99,158 +162,230 @@
 	if old != nil && old.Version == v.Version {
 		return
 	}
-	d.snapshot.Store(d.state.Snapshot())
 	d.log.Infof("version %d is in force.", v.Version)
-	for range 3 {
-		d.compare()
-	}
+	d.compareWith(pushCount)
+	d.acknowledge()
 }
 
-func (d *configDuty) poll() { d.platform.jobs.Offer(readHead{events: d.events}) }
-
-func (d *configDuty) fetch(f config.Fetch) {
-	if f.From.IsValid() {
-		d.senders.Post(fetchSnapshot{duty: d, to: f.From, version: f.Version})
+// keep makes a newer snapshot and the changes that led to it available to
+// peers.
+func (d *configDuty) keep(e fetched) {
+	old := d.held.Load()
+	if old != nil && e.loaded.Snapshot.Version <= old.snapshot.Version {
 		return
 	}
-	if !d.platform.jobs.Offer(readSnapshot{events: d.events}) {
-		d.apply(d.state.Step(time.Now(), config.FetchFailed{}))
+	packed, err := wire.Pack(wire.FromSnapshot(e.loaded.Snapshot))
+	if err != nil {
+		d.log.Errorf("version %d cannot be passed on: %v.", e.loaded.Snapshot.Version, err)
+		return
 	}
+	d.held.Store(&held{snapshot: e.loaded.Snapshot, changes: joinChanges(old, e.changes), packed: packed})
 }
 
-// compare tells one random peer the version in force.
-func (d *configDuty) compare() {
-	if to, found := d.roster.Peer(); found {
-		d.senders.Post(compareVersions{duty: d, to: to})
-		return
+// joinChanges appends changes to those that are held, unless there is a gap.
+func joinChanges(old *held, changes []*wire.Change) (joined []*wire.Change) {
+	if old == nil || len(changes) == 0 || changes[0].GetVersion() > old.snapshot.Version+1 {
+		return changes
 	}
-	if len(d.seeds) > 0 {
-		d.senders.Post(compareVersions{duty: d, to: d.seeds[rand.IntN(len(d.seeds))]})
+	for _, c := range old.changes {
+		if c.GetVersion() < changes[0].GetVersion() {
+			joined = append(joined, c)
+		}
 	}
+	joined = append(joined, changes...)
+	return joined[max(0, len(joined)-changeCount):]
 }
 
-// report returns the version in force for a peer.
-func (d *configDuty) report() (r *wire.VersionReport) {
-	r = &wire.VersionReport{Sender: &wire.Sender{Host: d.self.String()}}
-	if v := d.View(); v != nil {
-		r.Version = v.Version
-		r.ConfirmedAge = int64(time.Since(v.Confirmed))
+// snapshot returns what is held, or nil.
+func (d *configDuty) snapshot() (s *config.Snapshot) {
+	if h := d.held.Load(); h != nil {
+		return h.snapshot
 	}
-	return r
+	return nil
 }
 
-func (d *configDuty) heard(r *wire.VersionReport, from netip.AddrPort) {
-	if r.GetVersion() > 0 {
-		d.events.Offer(config.Heard{Version: r.GetVersion(), Age: time.Duration(r.GetConfirmedAge()), From: from})
+// zonePollers returns the pollers of this zone.
+func (d *configDuty) zonePollers() (pollers []netip.AddrPort) {
+	if v := d.roster.View(); v != d.pollersOf {
+		d.pollers, d.pollersOf = config.Pollers(d.zone, v.Hosts), v
 	}
+	return d.pollers
 }
 
-// Compare implements wire.Config.
-func (d *configDuty) Compare(_ context.Context, r *wire.VersionReport) (own *wire.VersionReport, err error) {
-	if from, err := netip.ParseAddrPort(r.GetSender().GetHost()); err == nil {
-		d.heard(r, from)
+// pollOnTurn reads the head if this node is a poller of its zone, and now and
+// then while it has no version.
+func (d *configDuty) pollOnTurn() {
+	for _, p := range d.zonePollers() {
+		if p == d.self {
+			d.poll()
+			return
+		}
+	}
+	if d.View() == nil && rand.IntN(startPolls) == 0 {
+		d.poll()
 	}
-	return d.report(), nil
 }
 
-// Fetch implements wire.Config.
-func (d *configDuty) Fetch(context.Context, *wire.FetchRequest) (m *wire.Snapshot, err error) {
-	s := d.snapshot.Load()
-	if s == nil {
-		return &wire.Snapshot{}, nil
+func (d *configDuty) poll() {
+	if !d.polling {
+		d.polling = d.platform.jobs.Offer(readHead{events: d.events})
 	}
-	return wire.FromSnapshot(s), nil
 }
 
-// readHead asks the platform for the newest version.
-type readHead struct{ events *ring.Ring }
-
-// EventName implements mesh.Event.
-func (readHead) EventName() string { return "read-head" }
-
-// Do implements platformJob.
-func (j readHead) Do(ctx context.Context, platform mesh.Platform) {
-	asked := time.Now()
-	row, found, err := platform.Read(ctx, admin.HeadKey)
-	if err != nil || !found {
+func (d *configDuty) fetch(f config.Fetch) {
+	if f.From.IsValid() {
+		d.senders.Post(fetchUpdate{duty: d, to: f.From, have: f.Have})
 		return
 	}
-	var head admin.Head
-	if err := json.Unmarshal(row.Value, &head); err != nil {
+	if !d.platform.jobs.Offer(readUpdate{duty: d, have: f.Have}) {
+		d.apply(d.state.Step(time.Now(), config.FetchFailed{}))
+	}
+}
+
+// compare tells one random peer the version in force. A node without one also
+// asks every peer in its settings and more of the roster.
+func (d *configDuty) compare() {
+	if d.View() != nil {
+		d.compareWith(1)
 		return
 	}
-	j.events.Offer(config.Heard{Version: head.Version, Age: time.Since(asked)})
+	d.compareWith(pushCount)
+	for _, to := range d.seeds {
+		d.compareTo(to)
+	}
 }
 
-// readSnapshot fetches the newest snapshot from the platform.
-type readSnapshot struct{ events *ring.Ring }
+// compareWith compares versions with random peers of the roster, or with one
+// of the settings when the roster has none.
+func (d *configDuty) compareWith(count int) {
+	for range count {
+		if to, found := d.roster.Peer(); found {
+			d.compareTo(to)
+		} else if len(d.seeds) > 0 {
+			d.compareTo(d.seeds[rand.IntN(len(d.seeds))])
+		}
+	}
+}
 
-// EventName implements mesh.Event.
-func (readSnapshot) EventName() string { return "read-snapshot" }
+func (d *configDuty) compareTo(to netip.AddrPort) {
+	if to != d.self {
+		d.senders.Post(compareVersions{duty: d, to: to})
+	}
+}
 
-// Do implements platformJob.
-func (j readSnapshot) Do(ctx context.Context, platform mesh.Platform) {
-	_, m, err := admin.Current(ctx, platform)
+// sender names this host and its present incarnation.
+func (d *configDuty) sender() (s *wire.Sender) {
+	return &wire.Sender{Host: d.self.String(), Incarnation: uint64(d.incarnationOf(d.self))}
+}
+
+// incarnationOf returns the incarnation of a host in the roster, or 0.
+func (d *configDuty) incarnationOf(addr netip.AddrPort) (in mesh.Incarnation) {
+	return d.roster.View().Hosts[addr].Incarnation
+}
+
+// current returns the host that a message is from, unless a later life of it
+// is known.
+func (d *configDuty) current(s *wire.Sender) (from netip.AddrPort, valid bool) {
+	from, err := netip.ParseAddrPort(s.GetHost())
 	if err != nil {
-		j.events.Offer(config.FetchFailed{})
-		return
+		return from, false
 	}
-	offerSnapshot(j.events, m)
+	return from, mesh.Incarnation(s.GetIncarnation()) >= d.incarnationOf(from)
 }
 
-func offerSnapshot(events *ring.Ring, m *wire.Snapshot) {
-	s, err := wire.ToSnapshot(m)
-	if err != nil || s.Version == 0 {
-		events.Offer(config.FetchFailed{})
-		return
+// age returns how long ago the version in force was confirmed, or 0 when it
+// never was.
+func age(v *config.View) (nanoseconds int64) {
+	if v == nil || v.Confirmed.IsZero() {
+		return 0
 	}
-	events.Offer(config.Loaded{Snapshot: s})
+	return max(1, int64(time.Since(v.Confirmed)))
 }
 
-// compareVersions exchanges versions with a peer.
-type compareVersions struct {
-	duty *configDuty
-	to   netip.AddrPort
+// confirmedAt returns when a version was confirmed by the clock of this host.
+// It counts from before the answer was asked for, so that an age never shrinks
+// as it is passed on.
+func confirmedAt(asked time.Time, age int64) (at time.Time) {
+	if age <= 0 {
+		return time.Time{}
+	}
+	return asked.Add(-time.Duration(age))
 }
 
-// EventName implements mesh.Event.
-func (compareVersions) EventName() string { return "compare-versions" }
+// report returns the version in force for a peer.
+func (d *configDuty) report() (r *wire.VersionReport) {
+	r = &wire.VersionReport{Sender: d.sender()}
+	if v := d.View(); v != nil {
+		r.Version, r.ConfirmedAge = v.Version, age(v)
+	}
+	return r
+}
 
-// To implements mesh.Message.
-func (m compareVersions) To() (addr netip.AddrPort) { return m.to }
+// Compare implements wire.Config. The age in a request is not taken over,
+// since it is not known how long the request was on its way.
+func (d *configDuty) Compare(_ context.Context, r *wire.VersionReport) (own *wire.VersionReport, err error) {
+	if from, valid := d.current(r.GetSender()); valid && r.GetVersion() > 0 {
+		d.events.Offer(config.Heard{Version: r.GetVersion(), From: from})
+	}
+	return d.report(), nil
+}
 
-// Send implements mesh.Message.
-func (m compareVersions) Send(ctx context.Context) (err error) {
-	peer := wire.NewConfigProtobufClient(peerURL(m.to), m.duty.client)
-	answer, err := peer.Compare(ctx, m.duty.report())
-	if err != nil {
-		return fmt.Errorf("compare versions: %w", err)
+// Fetch implements wire.Config.
+func (d *configDuty) Fetch(_ context.Context, r *wire.FetchRequest) (u *wire.Update, err error) {
+	u = &wire.Update{Sender: d.sender()}
+	v, h := d.View(), d.held.Load()
+	if v == nil || h == nil || r.GetHave() >= h.snapshot.Version {
+		return u, nil
 	}
-	m.duty.heard(answer, m.to)
-	return nil
+	if v.Version == h.snapshot.Version {
+		u.ConfirmedAge = age(v)
+	}
+	for i, c := range h.changes {
+		if r.GetHave() > 0 && c.GetVersion() == r.GetHave()+1 {
+			u.Changes = h.changes[i:]
+			return u, nil
+		}
+	}
+	u.Snapshot = h.packed
+	return u, nil
 }
 
-// fetchSnapshot gets the snapshot of a peer.
-type fetchSnapshot struct {
-	duty    *configDuty
-	to      netip.AddrPort
-	version uint64
+// fetched brings a snapshot with the changes that led to it, if it came so.
+type fetched struct {
+	loaded  config.Loaded
+	changes []*wire.Change
 }
 
 // EventName implements mesh.Event.
-func (fetchSnapshot) EventName() string { return "fetch-snapshot" }
-
-// To implements mesh.Message.
-func (m fetchSnapshot) To() (addr netip.AddrPort) { return m.to }
+func (fetched) EventName() string { return "fetched" }
+
+// offerUpdate hands a fetched update to the duty. It parses a new tree before,
+// so that this holds up only the one who fetched it.
+func (d *configDuty) offerUpdate(u *wire.Update, asked time.Time) {
+	s, err := d.follow(u)
+	if err != nil || s == nil {
+		d.events.Offer(config.FetchFailed{Mismatch: errors.Is(err, config.ErrMismatch)})
+		if err != nil {
+			d.log.Warnf("an update was not usable: %v.", err)
+		}
+		return
+	}
+	loaded := config.Loaded{Snapshot: s, Confirmed: confirmedAt(asked, u.GetConfirmedAge())}
+	d.events.Offer(fetched{loaded: loaded, changes: u.GetChanges()})
+}
 
-// Send implements mesh.Message.
-func (m fetchSnapshot) Send(ctx context.Context) (err error) {
-	peer := wire.NewConfigProtobufClient(peerURL(m.to), m.duty.client)
-	snapshot, err := peer.Fetch(ctx, &wire.FetchRequest{Version: m.version})
-	if err != nil {
-		m.duty.events.Offer(config.FetchFailed{})
-		return fmt.Errorf("fetch snapshot: %w", err)
+// follow returns the snapshot that an update leads to, or nil when it is empty.
+func (d *configDuty) follow(u *wire.Update) (s *config.Snapshot, err error) {
+	switch {
+	case len(u.GetChanges()) > 0:
+		return wire.Follow(d.snapshot(), u.GetChanges())
+	case len(u.GetSnapshot()) > 0:
+		m, err := wire.Unpack(u.GetSnapshot())
+		if err != nil {
+			return nil, err
+		}
+		return wire.ToSnapshot(m)
+	default:
+		return nil, nil
 	}
-	offerSnapshot(m.duty.events, snapshot)
-	return nil
 }
--- a/internal/mesh/stub/stub.go
+++ b/internal/mesh/stub/stub.go
@@ -50,6 +50,9 @@
 	LateWrites int `json:"late-writes"`
 
 	LateBy time.Duration `json:"late-by"`
+
+	// Every makes LoseAnswers and LateWrites apply to every n-th write only.
+	Every int `json:"every"`
 }
 
 // Counts are the requests since the start.
@@ -239,11 +242,16 @@
 	return s.faults, nil
 }
 
-// takeFault uses up one of the faults that apply to a number of writes.
+// takeFault returns the faults of one write and uses up one of those that
+// apply to a number of writes.
 func (s *Stub) takeFault() (f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f = s.faults
+	if f.Every > 1 && s.counts.Writes%int64(f.Every) != 0 {
+		f.LateWrites, f.LoseAnswers = 0, 0
+		return f
+	}
 	switch {
 	case f.LateWrites > 0:
 		s.faults.LateWrites--
--- a/internal/mesh/wire/config.twirp.go
+++ b/internal/mesh/wire/config.twirp.go
@@ -36,8 +36,12 @@
 	// Compare tells the receiver the sender's version and returns its own.
 	Compare(context.Context, *VersionReport) (*VersionReport, error)
 
-	// Fetch returns the snapshot that the receiver has in force.
-	Fetch(context.Context, *FetchRequest) (*Snapshot, error)
+	// Fetch returns what leads the sender from its version to the receiver's.
+	Fetch(context.Context, *FetchRequest) (*Update, error)
+
+	// Acknowledge tells a poller of the sender's zone which version is in force
+	// at the sender.
+	Acknowledge(context.Context, *VersionReport) (*Acknowledged, error)
 }
 
 // ======================
@@ -46,7 +50,7 @@
 
 type configProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -74,9 +78,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "quetzal.wire", "Config")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Compare",
 		serviceURL + "Fetch",
+		serviceURL + "Acknowledge",
 	}
 
 	return &configProtobufClient{
@@ -133,13 +138,13 @@
 	return out, nil
 }
 
-func (c *configProtobufClient) Fetch(ctx context.Context, in *FetchRequest) (*Snapshot, error) {
+func (c *configProtobufClient) Fetch(ctx context.Context, in *FetchRequest) (*Update, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "quetzal.wire")
 	ctx = ctxsetters.WithServiceName(ctx, "Config")
 	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
 	caller := c.callFetch
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *FetchRequest) (*Snapshot, error) {
+		caller = func(ctx context.Context, req *FetchRequest) (*Update, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
 					typedReq, ok := req.(*FetchRequest)
@@ -150,9 +155,9 @@
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Snapshot)
+				typedResp, ok := resp.(*Update)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Snapshot) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Update) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -162,8 +167,8 @@
 	return caller(ctx, in)
 }
 
-func (c *configProtobufClient) callFetch(ctx context.Context, in *FetchRequest) (*Snapshot, error) {
-	out := new(Snapshot)
+func (c *configProtobufClient) callFetch(ctx context.Context, in *FetchRequest) (*Update, error) {
+	out := new(Update)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -179,13 +184,59 @@
 	return out, nil
 }
 
+func (c *configProtobufClient) Acknowledge(ctx context.Context, in *VersionReport) (*Acknowledged, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "quetzal.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Config")
+	ctx = ctxsetters.WithMethodName(ctx, "Acknowledge")
+	caller := c.callAcknowledge
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *VersionReport) (*Acknowledged, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*VersionReport)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*VersionReport) when calling interceptor")
+					}
+					return c.callAcknowledge(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledged)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledged) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *configProtobufClient) callAcknowledge(ctx context.Context, in *VersionReport) (*Acknowledged, error) {
+	out := new(Acknowledged)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ==================
 // Config JSON Client
 // ==================
 
 type configJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -213,9 +264,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "quetzal.wire", "Config")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Compare",
 		serviceURL + "Fetch",
+		serviceURL + "Acknowledge",
 	}
 
 	return &configJSONClient{
@@ -272,13 +324,13 @@
 	return out, nil
 }
 
-func (c *configJSONClient) Fetch(ctx context.Context, in *FetchRequest) (*Snapshot, error) {
+func (c *configJSONClient) Fetch(ctx context.Context, in *FetchRequest) (*Update, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "quetzal.wire")
 	ctx = ctxsetters.WithServiceName(ctx, "Config")
 	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
 	caller := c.callFetch
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *FetchRequest) (*Snapshot, error) {
+		caller = func(ctx context.Context, req *FetchRequest) (*Update, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
 					typedReq, ok := req.(*FetchRequest)
@@ -289,9 +341,9 @@
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Snapshot)
+				typedResp, ok := resp.(*Update)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Snapshot) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Update) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -301,8 +353,8 @@
 	return caller(ctx, in)
 }
 
-func (c *configJSONClient) callFetch(ctx context.Context, in *FetchRequest) (*Snapshot, error) {
-	out := new(Snapshot)
+func (c *configJSONClient) callFetch(ctx context.Context, in *FetchRequest) (*Update, error) {
+	out := new(Update)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -318,6 +370,52 @@
 	return out, nil
 }
 
+func (c *configJSONClient) Acknowledge(ctx context.Context, in *VersionReport) (*Acknowledged, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "quetzal.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Config")
+	ctx = ctxsetters.WithMethodName(ctx, "Acknowledge")
+	caller := c.callAcknowledge
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *VersionReport) (*Acknowledged, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*VersionReport)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*VersionReport) when calling interceptor")
+					}
+					return c.callAcknowledge(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledged)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledged) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *configJSONClient) callAcknowledge(ctx context.Context, in *VersionReport) (*Acknowledged, error) {
+	out := new(Acknowledged)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =====================
 // Config Server Handler
 // =====================
@@ -421,6 +519,9 @@
 	case "Fetch":
 		s.serveFetch(ctx, resp, req)
 		return
+	case "Acknowledge":
+		s.serveAcknowledge(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -650,7 +751,7 @@
 
 	handler := s.Config.Fetch
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FetchRequest) (*Snapshot, error) {
+		handler = func(ctx context.Context, req *FetchRequest) (*Update, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
 					typedReq, ok := req.(*FetchRequest)
@@ -661,9 +762,9 @@
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Snapshot)
+				typedResp, ok := resp.(*Update)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Snapshot) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Update) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -672,7 +773,7 @@
 	}
 
 	// Call service method
-	var respContent *Snapshot
+	var respContent *Update
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -683,7 +784,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Snapshot and nil error while calling Fetch. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Update and nil error while calling Fetch. nil responses are not supported"))
 		return
 	}
 
@@ -731,7 +832,7 @@
 
 	handler := s.Config.Fetch
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FetchRequest) (*Snapshot, error) {
+		handler = func(ctx context.Context, req *FetchRequest) (*Update, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
 					typedReq, ok := req.(*FetchRequest)
@@ -742,9 +843,189 @@
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Snapshot)
+				typedResp, ok := resp.(*Update)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Update) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Update
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Update and nil error while calling Fetch. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *configServer) serveAcknowledge(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAcknowledgeJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAcknowledgeProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *configServer) serveAcknowledgeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Acknowledge")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(VersionReport)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Config.Acknowledge
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *VersionReport) (*Acknowledged, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*VersionReport)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*VersionReport) when calling interceptor")
+					}
+					return s.Config.Acknowledge(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledged)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledged) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Acknowledged
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Acknowledged and nil error while calling Acknowledge. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *configServer) serveAcknowledgeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Acknowledge")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(VersionReport)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Config.Acknowledge
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *VersionReport) (*Acknowledged, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*VersionReport)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*VersionReport) when calling interceptor")
+					}
+					return s.Config.Acknowledge(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledged)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Snapshot) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledged) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -753,7 +1034,7 @@
 	}
 
 	// Call service method
-	var respContent *Snapshot
+	var respContent *Acknowledged
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -764,7 +1045,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Snapshot and nil error while calling Fetch. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Acknowledged and nil error while calling Acknowledge. nil responses are not supported"))
 		return
 	}
 
@@ -1369,30 +1650,40 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 386 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x52, 0x4f, 0xeb, 0xd3, 0x40,
-	0x10, 0x25, 0x26, 0xbf, 0xfc, 0x9a, 0x69, 0x7a, 0x70, 0x29, 0x12, 0xaa, 0x60, 0x88, 0x08, 0x39,
-	0x48, 0x02, 0xf5, 0x20, 0x22, 0x08, 0x5a, 0xf0, 0xd2, 0xdb, 0x16, 0x7a, 0xd0, 0x83, 0x6c, 0xd3,
-	0x31, 0x59, 0xda, 0xec, 0xa6, 0xbb, 0x1b, 0x4b, 0xc5, 0x4f, 0xe0, 0xa7, 0x96, 0x6e, 0xa2, 0x4d,
-	0x14, 0x3c, 0x79, 0x9b, 0x3f, 0x6f, 0xe6, 0x3d, 0xe6, 0x0d, 0x3c, 0xe5, 0xc2, 0xa0, 0x12, 0xec,
-	0x98, 0xd7, 0xa8, 0xab, 0xfc, 0xcc, 0x15, 0xe6, 0x85, 0x14, 0x5f, 0x78, 0x99, 0x35, 0x4a, 0x1a,
-	0x49, 0xc2, 0x53, 0x8b, 0xe6, 0x1b, 0x3b, 0x66, 0xd7, 0x56, 0xf2, 0x16, 0xfc, 0x0d, 0x8a, 0x3d,
-	0x2a, 0x42, 0xc0, 0xab, 0xa4, 0x36, 0x91, 0x13, 0x3b, 0x69, 0x40, 0x6d, 0x4c, 0x62, 0x98, 0x72,
-	0x51, 0x30, 0x25, 0x98, 0xe1, 0x52, 0x44, 0x0f, 0x62, 0x27, 0xf5, 0xe8, 0xb0, 0x94, 0x7c, 0x87,
-	0xd9, 0x16, 0x95, 0xe6, 0x52, 0x50, 0x6c, 0xa4, 0x32, 0xe4, 0x05, 0xf8, 0xda, 0x2e, 0xb4, 0x8b,
-	0xa6, 0xcb, 0x79, 0x36, 0xe4, 0xcb, 0x3a, 0x32, 0xda, 0x63, 0x48, 0x04, 0xf7, 0x5f, 0xbb, 0xf1,
-	0x7e, 0xf9, 0xaf, 0x94, 0x3c, 0x83, 0x99, 0x95, 0xad, 0x6a, 0xdc, 0x7f, 0x66, 0x25, 0x46, 0x6e,
-	0xec, 0xa4, 0x2e, 0x0d, 0x7f, 0x17, 0xdf, 0x95, 0x98, 0x6c, 0x21, 0xfc, 0x80, 0xa6, 0xa8, 0x28,
-	0x9e, 0x5a, 0xd4, 0xff, 0x8d, 0x3c, 0x69, 0x61, 0xb2, 0x11, 0xac, 0xd1, 0x95, 0x34, 0x43, 0x94,
-	0x33, 0x96, 0x38, 0x87, 0x3b, 0x21, 0x45, 0x81, 0x76, 0x3a, 0xa0, 0x5d, 0x72, 0xbd, 0xa3, 0x51,
-	0xd8, 0xe9, 0x0d, 0xa9, 0x8d, 0xc9, 0x73, 0xf0, 0x0e, 0x78, 0xd1, 0x91, 0x17, 0xbb, 0xe9, 0x74,
-	0xf9, 0x70, 0xac, 0x6a, 0x8d, 0x17, 0x6a, 0xdb, 0xc9, 0x27, 0x70, 0xd7, 0x78, 0xb1, 0x4e, 0x30,
-	0x5d, 0x59, 0xba, 0x90, 0xda, 0x98, 0x24, 0x10, 0x4a, 0x55, 0x32, 0xc1, 0xf5, 0xcd, 0x8a, 0x80,
-	0x8e, 0x6a, 0xe4, 0x09, 0x04, 0x67, 0x6e, 0xaa, 0xbd, 0x62, 0x67, 0x61, 0xe9, 0x27, 0xf4, 0x56,
-	0x58, 0xfe, 0x70, 0xc0, 0x5f, 0xd9, 0x47, 0x20, 0x2b, 0xb8, 0x5f, 0xc9, 0xba, 0x61, 0x0a, 0xc9,
-	0xe3, 0xb1, 0x96, 0x91, 0x97, 0x8b, 0x7f, 0x35, 0xc9, 0x1b, 0xb8, 0xb3, 0xb7, 0x27, 0x8b, 0x31,
-	0x6a, 0x68, 0xc8, 0xe2, 0xd1, 0x1f, 0x06, 0xf4, 0x47, 0x7d, 0xff, 0xfa, 0xe3, 0xab, 0x92, 0x9b,
-	0xaa, 0xdd, 0x65, 0x85, 0xac, 0xf3, 0x1e, 0xa3, 0x0d, 0x2b, 0x0e, 0xe3, 0xe4, 0xef, 0x67, 0xde,
-	0xf9, 0xf6, 0x8d, 0x5f, 0xfe, 0x0c, 0x00, 0x00, 0xff, 0xff, 0xd4, 0x8d, 0xe9, 0x1f, 0xe9, 0x02,
-	0x00, 0x00,
+	// 553 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x54, 0xcd, 0x6a, 0xdb, 0x40,
+	0x10, 0x46, 0x91, 0x22, 0xdb, 0x63, 0xb9, 0xb4, 0x4b, 0x08, 0xaa, 0xdb, 0x52, 0xa1, 0x52, 0x30,
+	0xa5, 0xc8, 0xe0, 0x1e, 0x4a, 0x2e, 0x85, 0xd4, 0x24, 0x97, 0x5c, 0xca, 0xba, 0xed, 0xa1, 0x3d,
+	0x84, 0x8d, 0x34, 0x95, 0x84, 0xed, 0x5d, 0x65, 0x77, 0x1d, 0xe3, 0xd2, 0x37, 0xe8, 0x83, 0xf4,
+	0x75, 0xfa, 0x48, 0x41, 0x2b, 0x39, 0x91, 0x62, 0x08, 0xf8, 0x36, 0x3f, 0x9f, 0x66, 0xbe, 0x19,
+	0xcd, 0xb7, 0xf0, 0x3a, 0xe7, 0x1a, 0x25, 0x67, 0x8b, 0xf1, 0x12, 0x55, 0x36, 0x5e, 0xe7, 0x12,
+	0xc7, 0xb1, 0xe0, 0xbf, 0xf2, 0x34, 0x2a, 0xa4, 0xd0, 0x82, 0x78, 0xd7, 0x2b, 0xd4, 0xbf, 0xd9,
+	0x22, 0x2a, 0x53, 0xe1, 0x27, 0x70, 0x67, 0xc8, 0x13, 0x94, 0x84, 0x80, 0x93, 0x09, 0xa5, 0x7d,
+	0x2b, 0xb0, 0x46, 0x3d, 0x6a, 0x6c, 0x12, 0x40, 0x3f, 0xe7, 0x31, 0x93, 0x9c, 0xe9, 0x5c, 0x70,
+	0xff, 0x20, 0xb0, 0x46, 0x0e, 0x6d, 0x86, 0xc2, 0x3f, 0x30, 0xf8, 0x8e, 0x52, 0xe5, 0x82, 0x53,
+	0x2c, 0x84, 0xd4, 0xe4, 0x3d, 0xb8, 0xca, 0x14, 0x34, 0x85, 0xfa, 0x93, 0xa3, 0xa8, 0xd9, 0x2f,
+	0xaa, 0x9a, 0xd1, 0x1a, 0x43, 0x7c, 0xe8, 0xdc, 0x54, 0x9f, 0xd7, 0xc5, 0xb7, 0x2e, 0x79, 0x03,
+	0x03, 0x43, 0x5b, 0x2e, 0x31, 0xb9, 0x64, 0x29, 0xfa, 0x76, 0x60, 0x8d, 0x6c, 0xea, 0xdd, 0x05,
+	0x4f, 0x53, 0x0c, 0x9f, 0x80, 0x77, 0x1a, 0xcf, 0xb9, 0x58, 0x2f, 0x30, 0x49, 0x31, 0x09, 0xbf,
+	0x80, 0x77, 0x8e, 0x3a, 0xce, 0x28, 0x5e, 0xaf, 0x50, 0xed, 0x4b, 0xa6, 0xdc, 0x00, 0xbb, 0xc1,
+	0x9a, 0x89, 0xb1, 0xc3, 0x7f, 0x16, 0xb8, 0xdf, 0x8a, 0x84, 0x69, 0xdc, 0xb3, 0xd8, 0x0e, 0xff,
+	0x83, 0x5d, 0xfe, 0x24, 0x82, 0x4e, 0x9c, 0x31, 0x9e, 0xa2, 0xf2, 0xed, 0xc0, 0xde, 0xad, 0x39,
+	0x35, 0x49, 0xba, 0x05, 0x91, 0x21, 0x74, 0x15, 0x67, 0x85, 0xca, 0x84, 0xf6, 0x9d, 0xc0, 0x1a,
+	0x79, 0xf4, 0xce, 0x0f, 0xff, 0x5a, 0xe0, 0x56, 0xf8, 0xe6, 0x56, 0xad, 0xf6, 0x56, 0x8f, 0xe0,
+	0x90, 0x0b, 0x1e, 0x57, 0x6c, 0x7a, 0xb4, 0x72, 0xc8, 0x3b, 0x70, 0xb4, 0xc4, 0x6a, 0xc5, 0xfd,
+	0xc9, 0x71, 0x9b, 0xc3, 0x57, 0x89, 0x78, 0x96, 0xe4, 0x9a, 0x1a, 0x0c, 0x79, 0x0b, 0xce, 0x1c,
+	0x37, 0xca, 0x77, 0x0c, 0xdf, 0x67, 0x6d, 0xec, 0x05, 0x6e, 0xa8, 0x49, 0x87, 0x1c, 0xba, 0xdb,
+	0x0f, 0xc9, 0x2b, 0x80, 0x39, 0x62, 0x71, 0xa9, 0x34, 0x93, 0xd5, 0x7d, 0x0d, 0x68, 0xaf, 0x8c,
+	0xcc, 0xca, 0x00, 0x79, 0x0e, 0x5d, 0x93, 0x46, 0x9e, 0x18, 0x5a, 0x03, 0xda, 0x29, 0xfd, 0x33,
+	0x9e, 0x90, 0x63, 0x70, 0x73, 0xae, 0x50, 0x6a, 0x43, 0xcd, 0xa3, 0xb5, 0x47, 0x9e, 0x82, 0xad,
+	0x56, 0xcb, 0x7a, 0x05, 0xa5, 0x19, 0xae, 0xa0, 0x3b, 0xab, 0x37, 0xb1, 0xf7, 0xf8, 0xa4, 0x31,
+	0xbe, 0xb7, 0xdf, 0x98, 0x3f, 0xc1, 0xbe, 0xc0, 0x4d, 0x75, 0x39, 0x2a, 0x33, 0xed, 0x3c, 0x6a,
+	0x6c, 0x12, 0x82, 0x27, 0x64, 0xca, 0x78, 0xae, 0xee, 0xc5, 0xd3, 0xa3, 0xad, 0x18, 0x79, 0x09,
+	0xbd, 0x75, 0xae, 0xb3, 0x44, 0xb2, 0x35, 0x37, 0xed, 0xbb, 0xf4, 0x3e, 0x30, 0xf9, 0x5f, 0xfe,
+	0x51, 0x23, 0x5d, 0x32, 0x85, 0xce, 0x54, 0x2c, 0x0b, 0x26, 0x91, 0xbc, 0x68, 0x73, 0x69, 0xa9,
+	0x6f, 0xf8, 0x58, 0x92, 0x9c, 0xc0, 0xa1, 0x51, 0x07, 0x19, 0xb6, 0x51, 0x4d, 0xc9, 0x0c, 0x1f,
+	0x5c, 0x60, 0x7d, 0xfb, 0xe7, 0xd0, 0x6f, 0x08, 0xed, 0x71, 0x0e, 0x0f, 0xaa, 0x37, 0x05, 0xfa,
+	0xf9, 0xe4, 0xc7, 0xc7, 0x34, 0xd7, 0xd9, 0xea, 0x2a, 0x8a, 0xc5, 0x72, 0x5c, 0xe3, 0x94, 0x66,
+	0xf1, 0xbc, 0xed, 0xec, 0x3e, 0x62, 0x57, 0xae, 0x79, 0xbe, 0x3e, 0xdc, 0x06, 0x00, 0x00, 0xff,
+	0xff, 0x7a, 0x98, 0xfe, 0x91, 0xe1, 0x04, 0x00, 0x00,
 }
--- a/internal/mesh/wire/convert.go
+++ b/internal/mesh/wire/convert.go
@@ -5,8 +5,6 @@
 	"net/netip"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
-	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
-	"github.com/quetzalstack/quetzalstack/internal/mesh/parse"
 )
 
 // FromHost returns the message for a host.
@@ -63,27 +61,3 @@
 	}
 	return h, nil
 }
-
-// FromSnapshot returns the message for a snapshot.
-func FromSnapshot(s *config.Snapshot) (m *Snapshot) {
-	m = &Snapshot{Version: s.Version, Nonce: s.Nonce, Tree: s.Text}
-	for hash, key := range s.Keys {
-		m.Keys = append(m.Keys, &Key{Hash: hash[:], Organisation: string(key.Organisation), Withdrawn: key.Withdrawn})
-	}
-	return m
-}
-
-// ToSnapshot returns the snapshot in a message, with its tree parsed and
-// checked.
-func ToSnapshot(m *Snapshot) (s *config.Snapshot, err error) {
-	s = &config.Snapshot{Version: m.GetVersion(), Nonce: m.GetNonce(), Text: m.GetTree(), Keys: make(map[mesh.KeyHash]config.Key)}
-	if s.Tree, err = parse.Tree(s.Text); err != nil {
-		return nil, fmt.Errorf("snapshot %d: %w", s.Version, err)
-	}
-	for _, k := range m.GetKeys() {
-		var hash mesh.KeyHash
-		copy(hash[:], k.GetHash())
-		s.Keys[hash] = config.Key{Organisation: mesh.OrganisationName(k.GetOrganisation()), Withdrawn: k.GetWithdrawn()}
-	}
-	return s, nil
-}
--- /dev/null
+++ b/internal/mesh/wire/update.go
@@ -0,0 +1,175 @@
+package wire
+
+import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"fmt"
+	"io"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/parse"
+)
+
+// maxSnapshot is the largest snapshot before compression, in bytes.
+const maxSnapshot = 16 << 20
+
+func fromKeys(keys map[mesh.KeyHash]config.Key) (list []*Key) {
+	for hash, key := range keys {
+		list = append(list, &Key{Hash: hash[:], Organisation: string(key.Organisation), Withdrawn: key.Withdrawn})
+	}
+	slices.SortFunc(list, func(a, b *Key) int { return bytes.Compare(a.GetHash(), b.GetHash()) })
+	return list
+}
+
+func toKeys(list []*Key) (keys map[mesh.KeyHash]config.Key, err error) {
+	keys = make(map[mesh.KeyHash]config.Key, len(list))
+	for _, k := range list {
+		if len(k.GetHash()) != len(mesh.KeyHash{}) {
+			return nil, fmt.Errorf("hash of a key has %d bytes: %w", len(k.GetHash()), ErrMalformed)
+		}
+		keys[mesh.KeyHash(k.GetHash())] = config.Key{Organisation: mesh.OrganisationName(k.GetOrganisation()), Withdrawn: k.GetWithdrawn()}
+	}
+	return keys, nil
+}
+
+// FromSnapshot returns the message for a snapshot.
+func FromSnapshot(s *config.Snapshot) (m *Snapshot) {
+	return &Snapshot{Version: s.Version, Nonce: s.Nonce, Tree: s.Text, Keys: fromKeys(s.Keys)}
+}
+
+// ReadSnapshot returns the snapshot in a message without its parsed tree.
+func ReadSnapshot(m *Snapshot) (s *config.Snapshot, err error) {
+	s = &config.Snapshot{Version: m.GetVersion(), Nonce: m.GetNonce(), Text: m.GetTree()}
+	s.Keys, err = toKeys(m.GetKeys())
+	return s, err
+}
+
+// ToSnapshot returns the snapshot in a message, with its tree parsed and
+// checked.
+func ToSnapshot(m *Snapshot) (s *config.Snapshot, err error) {
+	s, err = ReadSnapshot(m)
+	if err != nil {
+		return nil, err
+	}
+	return s, parseTree(s)
+}
+
+// parseTree sets the tree of a snapshot whose text is new.
+func parseTree(s *config.Snapshot) (err error) {
+	if s.Tree != nil {
+		return nil
+	}
+	if s.Tree, err = parse.Tree(s.Text); err != nil {
+		return fmt.Errorf("snapshot %d: %w", s.Version, err)
+	}
+	return nil
+}
+
+// Pack returns a snapshot as compressed bytes. Settings trees repeat
+// themselves and shrink to about a tenth.
+func Pack(m *Snapshot) (data []byte, err error) { return pack(m) }
+
+// Unpack reads what Pack returned.
+func Unpack(data []byte) (m *Snapshot, err error) {
+	m = new(Snapshot)
+	return m, unpack(data, m)
+}
+
+func pack(m proto.Message) (data []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("pack: %w", err)
+		}
+	}()
+	plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	_, err = z.Write(plain)
+	err = cmp.Or(err, z.Close())
+	return b.Bytes(), err
+}
+
+func unpack(data []byte, m proto.Message) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("unpack: %w", err)
+		}
+	}()
+	z, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	plain, err := io.ReadAll(io.LimitReader(z, maxSnapshot+1))
+	if err != nil {
+		return err
+	}
+	if len(plain) > maxSnapshot {
+		return fmt.Errorf("more than %d bytes: %w", maxSnapshot, ErrMalformed)
+	}
+	return proto.Unmarshal(plain, m)
+}
+
+// PackChange returns a change as compressed bytes.
+func PackChange(m *Change) (data []byte, err error) { return pack(m) }
+
+// UnpackChange reads what PackChange returned.
+func UnpackChange(data []byte) (m *Change, err error) {
+	m = new(Change)
+	return m, unpack(data, m)
+}
+
+// FromChange returns the message for a change.
+func FromChange(c config.Change) (m *Change) {
+	m = &Change{Version: c.Version, Nonce: c.Nonce, Keys: fromKeys(c.Keys)}
+	if c.Tree != nil {
+		m.Tree = &TreeEdit{
+			KeepStart: uint32(c.Tree.KeepStart),
+			KeepEnd:   uint32(c.Tree.KeepEnd),
+			Insert:    c.Tree.Insert,
+			Sum:       c.Tree.Sum[:],
+		}
+	}
+	return m
+}
+
+// ToChange returns the change in a message.
+func ToChange(m *Change) (c config.Change, err error) {
+	c = config.Change{Version: m.GetVersion(), Nonce: m.GetNonce()}
+	if c.Keys, err = toKeys(m.GetKeys()); err != nil || m.GetTree() == nil {
+		return c, err
+	}
+	e := m.GetTree()
+	c.Tree = &config.TreeEdit{KeepStart: int(e.GetKeepStart()), KeepEnd: int(e.GetKeepEnd()), Insert: e.GetInsert()}
+	if len(e.GetSum()) != len(c.Tree.Sum) {
+		return c, fmt.Errorf("sum of an edit has %d bytes: %w", len(e.GetSum()), ErrMalformed)
+	}
+	copy(c.Tree.Sum[:], e.GetSum())
+	return c, nil
+}
+
+// Follow returns the snapshot that changes lead to, with its tree parsed. It
+// returns config.ErrMismatch when they do not start at the snapshot.
+func Follow(base *config.Snapshot, changes []*Change) (s *config.Snapshot, err error) {
+	if base == nil {
+		return nil, config.ErrMismatch
+	}
+	s = base
+	for _, m := range changes {
+		c, err := ToChange(m)
+		if err != nil {
+			return nil, err
+		}
+		if s, err = s.Apply(c); err != nil {
+			return nil, err
+		}
+	}
+	return s, parseTree(s)
+}
