--- /dev/null
+++ b/internal/mesh/node/config_test.go
@@ -0,0 +1,288 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/parse"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
+)
+
+// patience bounds every wait of a test. It fails nothing by itself.
+const patience = 30 * time.Second
+
+const configTree = "settings: {timeout: %dms}\nzones: {a: {region: r}, b: {region: r}}\nservices: {s: {routes: {all: {path: /}}}}\norganisations: {o: {}}\n"
+
+// configHost is a slot for a node.
+type configHost struct {
+	t        *testing.T
+	settings Settings
+	platform mesh.Platform
+	node     *Node
+	stop     context.CancelFunc
+	stopped  chan error
+}
+
+func freeAddr(t *testing.T) (addr netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func newConfigHosts(t *testing.T, platform mesh.Platform, zones ...mesh.ZoneName) (hosts []*configHost) {
+	t.Helper()
+	for _, z := range zones {
+		h := &configHost{t: t, platform: platform, settings: Settings{
+			Zone: z, CallerListen: freeAddr(t), LocalListen: freeAddr(t), PeerListen: freeAddr(t),
+			Secrets: []string{"0123456789abcdef"},
+		}}
+		for _, other := range hosts {
+			h.settings.Peers = append(h.settings.Peers, other.settings.PeerListen)
+		}
+		hosts = append(hosts, h)
+	}
+	hosts[0].settings.Peers = []netip.AddrPort{hosts[len(hosts)-1].settings.PeerListen}
+	return hosts
+}
+
+func (h *configHost) start() {
+	h.t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	n, err := New(h.settings, WithPlatform(h.platform), WithLogger(logger))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.node, h.stop, h.stopped = n, cancel, make(chan error, 1)
+	go func(stopped chan<- error) { stopped <- n.Run(ctx) }(h.stopped)
+}
+
+func (h *configHost) end() {
+	h.t.Helper()
+	h.stop()
+	if err := <-h.stopped; err != nil {
+		h.t.Errorf("node: got %v, want a clean stop", err)
+	}
+}
+
+func (h *configHost) version() (version uint64) {
+	if v := h.node.front.config.View(); v != nil {
+		return v.Version
+	}
+	return 0
+}
+
+// until waits for a condition, which may come at any time.
+func until(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !met(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: did not come within %v", what, patience)
+		}
+	}
+}
+
+// TestConfigSpread guards against a version that does not reach all hosts, a
+// node that goes back to an older version when it restarts in an outage, and
+// reports of zones that do not follow.
+func TestConfigSpread(t *testing.T) {
+	s, ctx := stub.New(), t.Context()
+	put := func(timeout int) (version uint64) {
+		t.Helper()
+		head, err := admin.Put(ctx, s, "ann", fmt.Appendf(nil, configTree, timeout))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return head.Version
+	}
+	put(1000)
+	hosts := newConfigHosts(t, s, "a", "a", "a", "b")
+	for _, h := range hosts {
+		h.start()
+		defer func() { h.end() }()
+	}
+	inForce := func(version uint64) func() bool {
+		return func() bool {
+			for _, h := range hosts {
+				if h.version() != version {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	until(t, "version 1 at all hosts", inForce(1))
+	until(t, "reports of both zones", func() bool {
+		p, err := admin.ReadProgress(ctx, s, 1)
+		return err == nil && !p.Pending()
+	})
+	until(t, "version 2 at all hosts", inForce(put(1100)))
+	progress, err := admin.Await(ctx, s, 2, patience)
+	if err != nil || progress.Pending() {
+		t.Errorf("version 2: got %+v and %v, want it in force in all zones", progress, err)
+	}
+	if got := progress.Zones[0].Report; got.Hosts != 3 || got.Zone != "a" {
+		t.Errorf("zone a: got %+v, want 3 hosts", got)
+	}
+
+	s.SetFaults(stub.Faults{Down: true})
+	hosts[1].end()
+	hosts[1].start()
+	until(t, "version 2 after a restart in an outage", func() bool {
+		if v := hosts[1].version(); v != 0 && v != 2 {
+			t.Fatalf("restarted node: got version %d, want none older than 2", v)
+		}
+		return hosts[1].version() == 2
+	})
+	s.SetFaults(stub.Faults{})
+	until(t, "version 3 at all hosts", inForce(put(1200)))
+}
+
+// measuredDuty returns a duty that holds a tree of the design size with 1,000
+// keys, behind a listener that counts bytes.
+func measuredDuty(b *testing.B, edit func(*config.Snapshot)) (d *configDuty, client wire.Config, bytes *atomic.Int64) {
+	b.Helper()
+	signer, err := wire.NewSigner("0123456789abcdef")
+	if err != nil {
+		b.Fatal(err)
+	}
+	n, err := New(Settings{PeerListen: netip.MustParseAddrPort("10.20.30.40:7001"), Zone: "zone-00", Secrets: []string{"0123456789abcdef"}}, WithPlatform(stub.New()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	d = n.front.config
+	old := &config.Snapshot{Version: 1000, Nonce: "n", Text: designTree(), Keys: make(map[mesh.KeyHash]config.Key)}
+	for i := range 1000 {
+		old.Keys[mesh.HashKey(fmt.Sprint(i))] = config.Key{Organisation: mesh.OrganisationName(fmt.Sprintf("organisation-%03d", i/2))}
+	}
+	next := *old
+	next.Version = 1001
+	edit(&next)
+	if next.Tree, err = parse.Tree(next.Text); err != nil {
+		b.Fatal(err)
+	}
+	d.keep(fetched{loaded: config.Loaded{Snapshot: &next}, changes: []*wire.Change{wire.FromChange(config.Diff(old, &next))}})
+	d.view.Store(&config.View{Version: next.Version, Confirmed: time.Now(), Index: next.Tree.Index("zone-00")})
+	bytes = new(atomic.Int64)
+	server := httptest.NewServer(signer.Verify(wire.NewConfigServer(d)))
+	b.Cleanup(server.Close)
+	transport := newTransport(0)
+	transport.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+		conn, err = new(net.Dialer).DialContext(ctx, network, address)
+		return measuredConn{conn, bytes}, err
+	}
+	return d, wire.NewConfigProtobufClient(server.URL, &http.Client{Transport: &wire.Transport{Signer: signer, Base: transport}}), bytes
+}
+
+// measuredConn counts the bytes in both directions.
+type measuredConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c measuredConn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c measuredConn) Write(p []byte) (n int, err error) {
+	n, err = c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func designTree() (text []byte) {
+	var b strings.Builder
+	b.WriteString("settings: {timeout: 2s}\nzones:\n")
+	for z := range 11 {
+		fmt.Fprintf(&b, "  zone-%02d: {region: region-%d}\n", z, z/4)
+	}
+	b.WriteString("services:\n")
+	for s := range 190 {
+		fmt.Fprintf(&b, "  service-%03d:\n    settings: {cold-limit: 4}\n    routes:\n", s)
+		for r := range 5 {
+			fmt.Fprintf(&b, "      route-%d:\n        path: /path-%d\n        methods: [GET, POST]\n        settings: {class: high, timeout: 1s, idempotent: true}\n", r, r)
+		}
+	}
+	b.WriteString("organisations:\n")
+	for o := range 500 {
+		fmt.Fprintf(&b, "  organisation-%03d: {rate: %d, burst: %d, weight: 2, timeout: 900ms}\n", o, 100+o, 200+o)
+	}
+	return []byte(b.String())
+}
+
+// BenchmarkControlBytes reports the bytes of each control message of settings
+// and keys at the design size, with HTTP headers and both directions.
+func BenchmarkControlBytes(b *testing.B) {
+	withdrawal := func(s *config.Snapshot) {
+		s.Keys = map[mesh.KeyHash]config.Key{}
+		for i := range 1000 {
+			s.Keys[mesh.HashKey(fmt.Sprint(i))] = config.Key{Organisation: mesh.OrganisationName(fmt.Sprintf("organisation-%03d", i/2)), Withdrawn: i == 7}
+		}
+	}
+	oneEdit := func(s *config.Snapshot) {
+		s.Text = []byte(strings.Replace(string(s.Text), "organisation-250: {rate: 350,", "organisation-250: {rate: 400,", 1))
+	}
+	for _, c := range []struct {
+		name string
+		edit func(*config.Snapshot)
+		send func(ctx context.Context, d *configDuty, peer wire.Config) (err error)
+	}{
+		{"compare", oneEdit, func(ctx context.Context, d *configDuty, peer wire.Config) (err error) {
+			_, err = peer.Compare(ctx, d.report())
+			return err
+		}},
+		{"acknowledge", oneEdit, func(ctx context.Context, d *configDuty, peer wire.Config) (err error) {
+			_, err = peer.Acknowledge(ctx, d.report())
+			return err
+		}},
+		{"fetch-withdrawal", withdrawal, func(ctx context.Context, d *configDuty, peer wire.Config) (err error) {
+			_, err = peer.Fetch(ctx, &wire.FetchRequest{Sender: d.sender(), Have: 1000})
+			return err
+		}},
+		{"fetch-edit", oneEdit, func(ctx context.Context, d *configDuty, peer wire.Config) (err error) {
+			_, err = peer.Fetch(ctx, &wire.FetchRequest{Sender: d.sender(), Have: 1000})
+			return err
+		}},
+		{"fetch-snapshot", oneEdit, func(ctx context.Context, d *configDuty, peer wire.Config) (err error) {
+			_, err = peer.Fetch(ctx, &wire.FetchRequest{Sender: d.sender()})
+			return err
+		}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			d, peer, bytes := measuredDuty(b, c.edit)
+			count := 0
+			for b.Loop() {
+				if len(d.events.Events()) > 0 {
+					<-d.events.Events()
+				}
+				if err := c.send(b.Context(), d, peer); err != nil {
+					b.Fatal(err)
+				}
+				count++
+			}
+			b.ReportMetric(float64(bytes.Load())/float64(count), "B/message")
+		})
+	}
+}
