node: collect acknowledgements on the way to the pollers

Now about sqrt(n) collectors per zone, by rendezvous hashing, take the reports of their group and pass on what changed once a second. Ruled out: reporting to one poller instead of three, which leaves that one with the same load; adding versions to gossip, which costs all nodes what only the writer of the zone's row needs.

--- a/internal/mesh/config/acks.go
+++ b/internal/mesh/config/acks.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"slices"
 
@@ -15,44 +16,64 @@
 // of them may fail at once.
 const pollerCount = 3
 
-// Pollers returns the live hosts of a zone that read the head at the platform,
-// by rendezvous hashing. The first one writes the row of the zone.
-func Pollers(zone mesh.ZoneName, hosts map[netip.AddrPort]mesh.Host) (pollers []netip.AddrPort) {
-	type candidate struct {
-		addr  netip.AddrPort
-		score uint64
-	}
-	var candidates []candidate
+// Collectors are the live hosts of a zone through which the others report the
+// versions that they have in force. The first ones are the pollers.
+type Collectors []netip.AddrPort
+
+// NewCollectors returns the collectors of a zone, by rendezvous hashing. Their
+// number is about the square root of the number of hosts: with n hosts that
+// report to the pollers directly, a poller would receive n messages for each
+// version, which is 13 KB/s for 680 hosts and 3,600 versions a day.
+func NewCollectors(zone mesh.ZoneName, hosts map[netip.AddrPort]mesh.Host) (c Collectors) {
+	scores := make(map[netip.AddrPort]uint64)
 	for addr, h := range hosts {
 		if h.Zone == zone && h.State == mesh.HostAlive {
-			candidates = append(candidates, candidate{addr, score(zone, addr)})
+			c = append(c, addr)
+			scores[addr] = score(string(zone), addr)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), a.addr.Compare(b.addr))
+	slices.SortFunc(c, func(a, b netip.AddrPort) int {
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), a.Compare(b))
 	})
-	for _, c := range candidates[:min(pollerCount, len(candidates))] {
-		pollers = append(pollers, c.addr)
+	count := max(pollerCount, int(math.Ceil(math.Sqrt(float64(len(c))))))
+	return slices.Clone(c[:min(count, len(c))])
+}
+
+// Pollers returns the hosts that read the head at the platform. The first one
+// writes the row of the zone.
+func (c Collectors) Pollers() (pollers []netip.AddrPort) { return c[:min(pollerCount, len(c))] }
+
+// Of returns the collector of a host, or false when there is none.
+func (c Collectors) Of(host netip.AddrPort) (collector netip.AddrPort, found bool) {
+	best := uint64(0)
+	for _, addr := range c {
+		if s := score(addr.String(), host); !found || s > best {
+			collector, found, best = addr, true, s
+		}
 	}
-	return pollers
+	return collector, found
 }
 
-func score(zone mesh.ZoneName, addr netip.AddrPort) (s uint64) {
+// score is the weight of an address for a name in rendezvous hashing.
+func score(name string, addr netip.AddrPort) (s uint64) {
 	ip := addr.Addr().As16()
-	text := append([]byte(zone), ip[:]...)
+	text := append([]byte(name), ip[:]...)
 	return xxhash.Sum64(binary.BigEndian.AppendUint16(text, addr.Port()))
 }
 
-// Acks is a poller's record of the versions that the hosts of its zone have in
-// force.
+// Acks is a record of the versions that hosts of a zone have in force. A
+// collector has those of its group, a poller those of the whole zone.
 type Acks struct {
 	hosts map[netip.AddrPort]ack
+
+	// sequence numbers the entries in the order in which they changed.
+	sequence uint64
 }
 
 // ack is what a host reported last in its latest incarnation.
 type ack struct {
-	incarnation mesh.Incarnation
-	version     uint64
+	Acked
+	sequence uint64
 }
 
 // NewAcks returns an empty record.
@@ -63,18 +84,43 @@
 	Host        netip.AddrPort
 	Incarnation mesh.Incarnation
 	Version     uint64
+
+	// Collected entries came through a collector and are not passed on.
+	Collected bool
 }
 
 // EventName implements mesh.Event.
 func (Acked) EventName() string { return "acked" }
 
 // Take records a report. One that was overtaken by a newer report is dropped.
+// One that comes from the host itself is passed on even if a collector told it
+// before, since that collector may be gone.
 func (a *Acks) Take(e Acked) {
 	old := a.hosts[e.Host]
-	if e.Incarnation < old.incarnation || e.Incarnation == old.incarnation && e.Version < old.version {
-		return
+	same := e.Incarnation == old.Incarnation && e.Version == old.Version
+	newer := e.Incarnation > old.Incarnation || e.Incarnation == old.Incarnation && e.Version > old.Version
+	if newer || same && old.Collected && !e.Collected {
+		a.sequence++
+		a.hosts[e.Host] = ack{e, a.sequence}
+	}
+}
+
+// Since returns the entries to pass on that changed after a sequence number,
+// in that order and at most limit, and the number that they lead to.
+func (a *Acks) Since(sequence uint64, limit int) (entries []Acked, last uint64) {
+	var changed []ack
+	for _, e := range a.hosts {
+		if e.sequence > sequence && !e.Collected {
+			changed = append(changed, e)
+		}
+	}
+	slices.SortFunc(changed, func(a, b ack) int { return cmp.Compare(a.sequence, b.sequence) })
+	last = sequence
+	for _, e := range changed[:min(limit, len(changed))] {
+		entries = append(entries, e.Acked)
+		last = e.sequence
 	}
-	a.hosts[e.Host] = ack{e.Incarnation, e.Version}
+	return entries, last
 }
 
 // Coverage says where a version is in force in a zone.
@@ -118,8 +164,8 @@
 
 // version returns what a host reported in its present incarnation.
 func (a *Acks) version(h mesh.Host) (version uint64) {
-	if seen := a.hosts[h.Addr]; seen.incarnation >= h.Incarnation {
-		return seen.version
+	if seen := a.hosts[h.Addr]; seen.Incarnation >= h.Incarnation {
+		return seen.Version
 	}
 	return 0
 }
--- a/internal/mesh/config/change_test.go
+++ b/internal/mesh/config/change_test.go
@@ -73,12 +73,12 @@
 		inForce uint64
 		pending []netip.AddrPort
 	}{
-		{"nobody else reported", Acked{hostAddr(0), 5, 7}, 0, []netip.AddrPort{hostAddr(1)}},
-		{"report of an earlier life", Acked{hostAddr(1), 4, 7}, 0, []netip.AddrPort{hostAddr(1)}},
-		{"older version", Acked{hostAddr(1), 5, 6}, 6, []netip.AddrPort{hostAddr(1)}},
-		{"newest version", Acked{hostAddr(1), 5, 7}, 7, nil},
-		{"late report of an older version", Acked{hostAddr(1), 5, 6}, 7, nil},
-		{"new life without a version", Acked{hostAddr(0), 6, 0}, 0, []netip.AddrPort{hostAddr(0)}},
+		{"nobody else reported", Acked{Host: hostAddr(0), Incarnation: 5, Version: 7}, 0, []netip.AddrPort{hostAddr(1)}},
+		{"report of an earlier life", Acked{Host: hostAddr(1), Incarnation: 4, Version: 7}, 0, []netip.AddrPort{hostAddr(1)}},
+		{"older version", Acked{Host: hostAddr(1), Incarnation: 5, Version: 6}, 6, []netip.AddrPort{hostAddr(1)}},
+		{"newest version", Acked{Host: hostAddr(1), Incarnation: 5, Version: 7}, 7, nil},
+		{"late report of an older version", Acked{Host: hostAddr(1), Incarnation: 5, Version: 6}, 7, nil},
+		{"new life without a version", Acked{Host: hostAddr(0), Incarnation: 6, Version: 0}, 0, []netip.AddrPort{hostAddr(0)}},
 	} {
 		a.Take(c.acked)
 		got := a.Coverage("a", 7, hosts)
@@ -88,23 +88,62 @@
 	}
 }
 
-// TestPollers guards against zones that nobody polls for, against more load on
-// the platform than three hosts per zone, and against a change of all pollers
-// when one host goes.
-func TestPollers(t *testing.T) {
+// TestCollectors guards against zones that nobody polls for, against more load
+// on the platform than three hosts per zone, against a change of all pollers
+// when one host goes, and against collectors with far more hosts than others.
+func TestCollectors(t *testing.T) {
+	const perZone = 100
 	hosts := map[netip.AddrPort]mesh.Host{}
-	for i := range 40 {
+	for i := range 2 * perZone {
 		hosts[hostAddr(i)] = mesh.Host{Addr: hostAddr(i), Zone: mesh.ZoneName([]string{"a", "b"}[i%2])}
 	}
-	before := Pollers("a", hosts)
-	if len(before) != pollerCount {
-		t.Fatalf("got %v, want %d pollers", before, pollerCount)
+	before := NewCollectors("a", hosts)
+	if len(before) != 10 || len(before.Pollers()) != pollerCount {
+		t.Fatalf("got %v, want 10 collectors, %d of them pollers", before, pollerCount)
+	}
+	groups := make(map[netip.AddrPort]int)
+	for addr, h := range hosts {
+		if h.Zone == "a" {
+			c, _ := before.Of(addr)
+			groups[c]++
+		}
+	}
+	for _, c := range before {
+		if got := groups[c]; got < 2 || got > 3*perZone/len(before) {
+			t.Errorf("group of %s: got %d hosts, want about %d", c, got, perZone/len(before))
+		}
 	}
 	gone := hosts[before[0]]
 	gone.State = mesh.HostSuspect
 	hosts[before[0]] = gone
-	after := Pollers("a", hosts)
-	if !slices.Equal(after[:2], before[1:]) || hosts[after[2]].Zone != "a" {
-		t.Errorf("got %v, want %v and one more of the zone", after, before[1:])
+	after := NewCollectors("a", hosts)
+	if !slices.Equal(after[:9], before[1:]) {
+		t.Errorf("got %v, want %v first", after, before[1:])
+	}
+	if got := NewCollectors("c", hosts); len(got.Pollers()) != 0 {
+		t.Errorf("empty zone: got %v, want none", got)
+	}
+}
+
+// TestAcksSince guards against a report that a collector loses or passes on
+// twice, and against pollers that send the whole zone to each other.
+func TestAcksSince(t *testing.T) {
+	a := NewAcks()
+	a.Take(Acked{Host: hostAddr(0), Version: 1})
+	a.Take(Acked{Host: hostAddr(1), Version: 1, Collected: true})
+	a.Take(Acked{Host: hostAddr(2), Version: 1})
+	a.Take(Acked{Host: hostAddr(0), Version: 2})
+	first, last := a.Since(0, 1)
+	rest, end := a.Since(last, 10)
+	if len(first) != 1 || first[0].Host != hostAddr(2) || len(rest) != 1 || rest[0].Version != 2 {
+		t.Errorf("got %v, then %v, want host 2, then version 2 of host 0", first, rest)
+	}
+	a.Take(Acked{Host: hostAddr(0), Version: 2, Collected: true})
+	if again, _ := a.Since(end, 10); len(again) != 0 {
+		t.Errorf("after all: got %v, want nothing", again)
+	}
+	a.Take(Acked{Host: hostAddr(1), Version: 1})
+	if again, _ := a.Since(end, 10); len(again) != 1 {
+		t.Errorf("host that lost its collector: got %v, want its entry", again)
 	}
 }
--- a/internal/mesh/node/config.go
+++ b/internal/mesh/node/config.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -61,11 +62,12 @@
 	// polling is true while a read of the head is on its way.
 	polling bool
 
-	// pollers are those of this zone in the roster view pollersOf.
-	pollers   []netip.AddrPort
-	pollersOf *roster.View
+	// collectors are those of this zone in the roster view collectorsOf.
+	collectors   config.Collectors
+	collectorsOf *roster.View
 
-	// reported is what each poller is known to have taken from this node.
+	// reported is what each poller and the collector of this node are known
+	// to have taken from it.
 	reported map[netip.AddrPort]report
 	acks     *config.Acks
 	row      zoneRow
@@ -132,10 +134,12 @@
 	switch e := event.(type) {
 	case polled:
 		d.polling = false
-	case config.Acked:
-		d.acks.Take(e)
-	case reportTaken:
-		d.reported[e.poller] = e.report
+	case acksCame:
+		for _, a := range e.acks {
+			d.acks.Take(a)
+		}
+	case acksTaken:
+		d.taken(e)
 	case rowWritten:
 		d.row.written(e)
 	case fetched:
@@ -204,22 +208,20 @@
 	return nil
 }
 
-// zonePollers returns the pollers of this zone.
-func (d *configDuty) zonePollers() (pollers []netip.AddrPort) {
-	if v := d.roster.View(); v != d.pollersOf {
-		d.pollers, d.pollersOf = config.Pollers(d.zone, v.Hosts), v
+// zoneCollectors returns the collectors of this zone.
+func (d *configDuty) zoneCollectors() (c config.Collectors) {
+	if v := d.roster.View(); v != d.collectorsOf {
+		d.collectors, d.collectorsOf = config.NewCollectors(d.zone, v.Hosts), v
 	}
-	return d.pollers
+	return d.collectors
 }
 
 // pollOnTurn reads the head if this node is a poller of its zone, and now and
 // then while it has no version.
 func (d *configDuty) pollOnTurn() {
-	for _, p := range d.zonePollers() {
-		if p == d.self {
-			d.poll()
-			return
-		}
+	if slices.Contains(d.zoneCollectors().Pollers(), d.self) {
+		d.poll()
+		return
 	}
 	if d.View() == nil && rand.IntN(startPolls) == 0 {
 		d.poll()
--- a/internal/mesh/node/config_test.go
+++ b/internal/mesh/node/config_test.go
@@ -106,6 +106,7 @@
 // node that goes back to an older version when it restarts in an outage, and
 // reports of zones that do not follow.
 func TestConfigSpread(t *testing.T) {
+	t.Parallel()
 	s, ctx := stub.New(), t.Context()
 	put := func(timeout int) (version uint64) {
 		t.Helper()
@@ -232,6 +233,13 @@
 	return []byte(b.String())
 }
 
+func sampleAcks(d *configDuty, count int) (acks []config.Acked) {
+	for range count {
+		acks = append(acks, config.Acked{Host: d.self, Incarnation: d.incarnationOf(d.self), Version: 123_456})
+	}
+	return acks
+}
+
 // BenchmarkControlBytes reports the bytes of each control message of settings
 // and keys at the design size, with HTTP headers and both directions.
 func BenchmarkControlBytes(b *testing.B) {
@@ -254,7 +262,11 @@
 			return err
 		}},
 		{"acknowledge", oneEdit, func(ctx context.Context, d *configDuty, peer wire.Config) (err error) {
-			_, err = peer.Acknowledge(ctx, d.report())
+			_, err = peer.Acknowledge(ctx, &wire.Acknowledgement{Sender: d.sender(), Acks: wire.FromAcks(sampleAcks(d, 1))})
+			return err
+		}},
+		{"acknowledge-26", oneEdit, func(ctx context.Context, d *configDuty, peer wire.Config) (err error) {
+			_, err = peer.Acknowledge(ctx, &wire.Acknowledgement{Sender: d.sender(), Acks: wire.FromAcks(sampleAcks(d, 26)), Collected: true})
 			return err
 		}},
 		{"fetch-withdrawal", withdrawal, func(ctx context.Context, d *configDuty, peer wire.Config) (err error) {
--- a/internal/mesh/node/configstore.go
+++ b/internal/mesh/node/configstore.go
@@ -136,7 +136,7 @@
 // writeRow writes the row of this zone if this node is the first of its
 // pollers and the row changed.
 func (d *configDuty) writeRow(now time.Time) {
-	pollers := d.zonePollers()
+	pollers := d.zoneCollectors().Pollers()
 	if len(pollers) == 0 || pollers[0] != d.self || d.row.writing || now.Sub(d.started) < rowWait {
 		return
 	}
--- a/internal/mesh/wire/update.go
+++ b/internal/mesh/wire/update.go
@@ -173,3 +173,25 @@
 	}
 	return s, parseTree(s)
 }
+
+// FromAcks returns the messages for acknowledgements.
+func FromAcks(acks []config.Acked) (list []*Ack) {
+	for _, a := range acks {
+		// MarshalBinary of an address never fails.
+		host, _ := a.Host.MarshalBinary()
+		list = append(list, &Ack{Host: host, Incarnation: uint64(a.Incarnation), Version: a.Version})
+	}
+	return list
+}
+
+// ToAcks returns the acknowledgements in messages.
+func ToAcks(list []*Ack, collected bool) (acks []config.Acked, err error) {
+	for _, m := range list {
+		a := config.Acked{Incarnation: mesh.Incarnation(m.GetIncarnation()), Version: m.GetVersion(), Collected: collected}
+		if err := a.Host.UnmarshalBinary(m.GetHost()); err != nil {
+			return nil, fmt.Errorf("acknowledgement: %w", err)
+		}
+		acks = append(acks, a)
+	}
+	return acks, nil
+}
