--- a/internal/cmds/operator.go
+++ b/internal/cmds/operator.go
@@ -71,8 +71,13 @@
 
 func (w *waitFlag) SetFlags(f *flag.FlagSet) {
 	w.wait = defaultWait
-	if d, err := time.ParseDuration(os.Getenv(waitVariable)); err == nil {
-		w.wait = d
+	if text := os.Getenv(waitVariable); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			fmt.Fprintf(f.Output(), "quetzalstack: $%s is %q; waiting %v instead; write a duration such as 17s\n", waitVariable, text, defaultWait)
+		} else {
+			w.wait = d
+		}
 	}
 	f.DurationVar(&w.wait, "wait", w.wait, "how long to wait until the change is in force everywhere ($"+waitVariable+")")
 }
--- a/internal/mesh/config/state.go
+++ b/internal/mesh/config/state.go
@@ -13,6 +13,11 @@
 	// fetched from someone else. A fetch may be lost without a trace.
 	fetchTimeout = 3 * time.Second
 
+	// unusableWait is how long a version that could not be used is not
+	// fetched again. A node of an older release may not know a setting in
+	// it, and a snapshot a second would exceed what control may cost.
+	unusableWait = time.Minute
+
 	// startWait is how long a node that starts looks for the newest version
 	// when the platform does not name it. A node that is restarted in an
 	// outage would otherwise serve the version of the first peer that
@@ -100,6 +105,9 @@
 type FetchFailed struct {
 	// Mismatch is true when changes came that do not fit.
 	Mismatch bool
+
+	// Unusable is true when what came could not be read.
+	Unusable bool
 }
 
 // EventName implements mesh.Event.
@@ -141,8 +149,7 @@
 	case Loaded:
 		return s.loaded(now, e)
 	case FetchFailed:
-		s.fetching = 0
-		s.whole = s.whole || e.Mismatch
+		s.failed(now, e)
 	case Tick:
 		return s.release(now)
 	}
@@ -175,6 +182,15 @@
 	return []Action{f}
 }
 
+func (s *State) failed(now time.Time, e FetchFailed) {
+	s.whole = s.whole || e.Mismatch
+	if e.Unusable {
+		s.fetchUntil = now.Add(unusableWait)
+		return
+	}
+	s.fetching = 0
+}
+
 func (s *State) confirm(now, at time.Time) (actions []Action) {
 	if at.After(s.confirmed) {
 		s.confirmed = at
--- a/internal/mesh/node/config.go
+++ b/internal/mesh/node/config.go
@@ -145,6 +145,11 @@
 	case fetched:
 		d.keep(e)
 		d.apply(d.state.Step(now, e.loaded))
+	case config.Heard:
+		if !e.From.IsValid() && e.Version < d.state.Version() {
+			d.log.Warnf("the platform names version %d, but version %d is in force; it may have lost changes.", e.Version, d.state.Version())
+		}
+		d.apply(d.state.Step(now, e))
 	default:
 		d.apply(d.state.Step(now, event))
 	}
@@ -167,6 +172,9 @@
 		return
 	}
 	d.log.Infof("version %d is in force.", v.Version)
+	if _, found := v.Index.Zones[d.zone]; !found {
+		d.log.Warnf("zone %s is not in the settings tree; the settings of the fleet apply.", d.zone)
+	}
 	d.compareWith(pushCount)
 	d.acknowledge()
 }
@@ -366,7 +374,8 @@
 func (d *configDuty) offerUpdate(u *wire.Update, asked time.Time) {
 	s, err := d.follow(u)
 	if err != nil || s == nil {
-		d.events.Offer(config.FetchFailed{Mismatch: errors.Is(err, config.ErrMismatch)})
+		mismatch := errors.Is(err, config.ErrMismatch)
+		d.events.Offer(config.FetchFailed{Mismatch: mismatch, Unusable: err != nil && !mismatch})
 		if err != nil {
 			d.log.Warnf("an update was not usable: %v.", err)
 		}
