--- a/internal/mesh/node/config_test.go
+++ b/internal/mesh/node/config_test.go
@@ -38,16 +38,6 @@
 	stopped  chan error
 }
 
-func freeAddr(t *testing.T) (addr netip.AddrPort) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
-}
-
 func newConfigHosts(t *testing.T, platform mesh.Platform, zones ...mesh.ZoneName) (hosts []*configHost) {
 	t.Helper()
 	for _, z := range zones {
