gate: a class that waits in vain counts as refused in the level

Cause: the level only counted requests shed for want of room. A class that never gets its turn waits until its time runs out, in a queue that need not be full, so the level kept accepting it and the work above it was wasted.

Found by a fault put in on purpose, which showed that the level test did not cover a class of which some run; the test is a table now and both faults are caught.

Conclusion: requests dropped from the queue count as refused.

--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -368,22 +368,29 @@
 
 // sweep drops waiting requests that can no longer finish.
 func (g *Gate) sweep(now time.Time) {
-	var late []Ticket
+	var late []mesh.Waiter
 	g.dropAt, g.swept = time.Time{}, now
 	g.queue.Each(func(w mesh.Waiter) bool {
 		if !g.canFinish(now, w.Call) {
-			late = append(late, w.Ticket)
+			late = append(late, w)
 		} else {
 			g.expect(w.Call)
 		}
 		return true
 	})
-	for _, t := range late {
-		g.queue.Remove(t)
-		g.refuse(t, tooLate())
+	for _, w := range late {
+		g.queue.Remove(w.Ticket)
+		g.drop(now, w)
 	}
 }
 
+// drop refuses a request that waited for too long. Its class counts as refused,
+// since a class without its turn waits in a queue that need not be full.
+func (g *Gate) drop(now time.Time, w mesh.Waiter) {
+	g.level.refused(now, classOf(w.Call))
+	g.refuse(w.Ticket, tooLate())
+}
+
 func (g *Gate) start(now time.Time) {
 	for len(g.running) < g.limiter.Limit() {
 		next, found := g.queue.Pop(now)
@@ -391,7 +398,7 @@
 			return
 		}
 		if !g.canFinish(now, next.Call) {
-			g.refuse(next.Ticket, tooLate())
+			g.drop(now, next)
 			continue
 		}
 		g.run(now, next.Ticket, next.Call)
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -316,20 +316,33 @@
 }
 
 // TestLevel guards against a level that refuses a class of which some still
-// run, or that stays after the overload.
+// run, that accepts one which only waits in vain, or that stays after the
+// overload.
 func TestLevel(t *testing.T) {
-	g := New(NewFixed(1), WithQueue(NewFair(1, 20*time.Millisecond)))
-	late := testStart.Add(time.Minute)
-	run(g, testStart,
-		Arrival{Ticket: 1, Call: testCall(1, "a", late)}, Arrival{Ticket: 2, Call: testCall(1, "a", late)},
-		Arrival{Ticket: 3, Call: testCall(2, "a", late)},
-	)
+	late, soon := testStart.Add(time.Minute), testStart.Add(testWork)
 	for _, c := range []struct {
-		later time.Duration
-		want  mesh.Class
-	}{{0, mesh.ClassHigh}, {levelDelays*defaultDelay + 1, mesh.ClassLow}} {
-		if got := g.Level(testStart.Add(c.later)); got != c.want {
-			t.Errorf("after %v: got %v, want %v", c.later, got, c.want)
+		name string
+
+		// first runs, second waits, third finds the queue full.
+		first, second, third mesh.Class
+		deadline             time.Time
+		later                time.Duration
+		want                 mesh.Class
+	}{
+		{"one class refused", 1, 1, 2, late, 0, mesh.ClassHigh},
+		{"some of the class run", 3, 3, 3, late, 0, mesh.ClassLow},
+		{"overload ends", 1, 1, 2, late, levelDelays*defaultDelay + 1, mesh.ClassLow},
+		{"waits in vain", 0, 2, 2, soon, testWork, mesh.ClassHigh},
+	} {
+		g := New(NewFixed(1), WithQueue(NewFair(1, 20*time.Millisecond)))
+		run(g, testStart, Arrival{Ticket: 1, Call: testCall(c.first, "a", late)}, Arrival{Ticket: 2, Call: testCall(c.second, "a", c.deadline)})
+		if c.deadline == late {
+			run(g, testStart, Arrival{Ticket: 3, Call: testCall(c.third, "a", late)})
+		}
+		now := testStart.Add(c.later)
+		run(g, now, Elapsed{})
+		if got := g.Level(now); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
 	}
 }
