gate: a standing queue sheds what waits in vain

Cause: a trial with four processes on loopback sent four times the load to a target of 4 slots and 20 ms. Goodput was full (199 of 200 a second), but all 2331 refusals came as deadline-exceeded after the whole deadline had passed in the queue: too late to try another target, and without level or retry time, so the entry never refused early.

Requests that waited for five target delays in a queue that stands are now refused as overloaded. A queue stands when it was not empty for ten target delays while more arrived than ran. A plain bound on the wait was ruled out: it refuses bursts that the target works off in time.

Conclusion: refusals come early enough for a retry, and carry the level.

--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -137,7 +137,8 @@
 	// closed is why no request is accepted, nil while the gate is open.
 	closed *mesh.Refusal
 
-	level levels
+	level    levels
+	standing standing
 
 	// dropAt is at most the earliest time at which a waiting request can no
 	// longer finish, and zero while none waits.
@@ -219,6 +220,7 @@
 		g.closed = nil
 	}
 	g.start(now)
+	g.standing.look(now, g.level.delay, g.queue.Len())
 	return g.actions
 }
 
@@ -235,6 +237,7 @@
 		g.refuse(a.Ticket, tooLate())
 		return
 	}
+	g.standing.arrived++
 	if g.queue.Len() == 0 && len(g.running) < g.limiter.Limit() {
 		g.run(now, a.Ticket, a.Call)
 		return
@@ -276,6 +279,7 @@
 func (g *Gate) run(now time.Time, t Ticket, call *mesh.Call) {
 	g.running[t] = started{call: call, at: now, life: g.life}
 	g.level.started(now, classOf(call))
+	g.standing.ran++
 	g.actions = append(g.actions, Start{Ticket: t})
 }
 
@@ -366,14 +370,25 @@
 	return call.Deadline.Add(-g.typical.last(call.Route.Name))
 }
 
-// sweep drops waiting requests that can no longer finish.
+// sheds reports whether a waiting request is refused although it could still
+// finish. In a standing queue the newest requests run, so the others are told
+// early enough to try another target.
+func (g *Gate) sheds(now time.Time, w mesh.Waiter) bool {
+	return g.typical != nil && g.standing.found && now.Sub(w.Since) > waitDelays*g.level.delay
+}
+
+// sweep drops waiting requests that can no longer finish, and those that wait
+// in vain.
 func (g *Gate) sweep(now time.Time) {
-	var late []mesh.Waiter
+	var late, vain []mesh.Waiter
 	g.dropAt, g.swept = time.Time{}, now
 	g.queue.Each(func(w mesh.Waiter) bool {
-		if !g.canFinish(now, w.Call) {
+		switch {
+		case !g.canFinish(now, w.Call):
 			late = append(late, w)
-		} else {
+		case g.sheds(now, w):
+			vain = append(vain, w)
+		default:
 			g.expect(w.Call)
 		}
 		return true
@@ -382,6 +397,10 @@
 		g.queue.Remove(w.Ticket)
 		g.drop(now, w)
 	}
+	for _, w := range vain {
+		g.queue.Remove(w.Ticket)
+		g.shed(now, w)
+	}
 }
 
 // drop refuses a request that waited for too long. Its class counts as refused,
@@ -410,10 +429,14 @@
 	if g.queue.Len() == 0 {
 		return time.Time{}
 	}
-	if earliest := g.swept.Add(leastSweep); g.dropAt.Before(earliest) {
+	at = g.dropAt
+	if again := g.swept.Add(g.level.delay); g.typical != nil && g.standing.found && again.Before(at) {
+		at = again
+	}
+	if earliest := g.swept.Add(leastSweep); at.Before(earliest) {
 		return earliest
 	}
-	return g.dropAt
+	return at
 }
 
 // Level returns the least important class that the gate accepts now.
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -346,3 +346,53 @@
 		}
 	}
 }
+
+// TestStandingQueue guards against requests that wait in vain under a lasting
+// overload until no time is left to try another target, and against refusing
+// a burst that the target works off in time.
+func TestStandingQueue(t *testing.T) {
+	for _, c := range []struct {
+		name string
+
+		// arrivals come in each service time, in the first or in all of them.
+		first, all int
+
+		// least and most bound the refusals. Of the 200 arrivals beyond what
+		// runs, those of the last ten service times still wait.
+		least, most int
+	}{
+		{"burst", 60, 0, 0, 0},
+		{"lasting overload", 3, 3, 170, 180},
+	} {
+		g := New(NewFixed(1))
+		ticket, running, shed := Ticket(0), Ticket(0), 0
+		for i := range 100 {
+			now := testStart.Add(time.Duration(i) * testWork)
+			events := []mesh.Event{Finished{Ticket: running, Latency: testWork}, Elapsed{}}
+			arrivals := c.all
+			if i == 0 {
+				arrivals = c.first
+			}
+			for range arrivals {
+				ticket++
+				events = append(events, Arrival{Ticket: ticket, Call: testCall(2, "a", now.Add(time.Minute))})
+			}
+			for _, e := range events {
+				for _, a := range g.Step(now, e) {
+					switch a := a.(type) {
+					case Start:
+						running = a.Ticket
+					case Refuse:
+						shed++
+						if a.Refusal.Code != header.Overloaded {
+							t.Errorf("%s: got %v, want code %q", c.name, a.Refusal, header.Overloaded)
+						}
+					}
+				}
+			}
+		}
+		if shed < c.least || shed > c.most {
+			t.Errorf("%s: got %d shed, want from %d to %d", c.name, shed, c.least, c.most)
+		}
+	}
+}
