route: a new incarnation ends the failures of its target

Cause: in a trial on loopback a target was killed under 150 calls a second and started again after 0.7 s. 235 of 750 calls were refused, 105 of them in the 0.7 s; the others met the backoff of the earlier life.

The failures, and a probe that is under way, now end when the roster shows a new incarnation.

--- a/internal/mesh/route/links.go
+++ b/internal/mesh/route/links.go
@@ -105,6 +105,10 @@
 		s = &state{Link: mesh.Link{To: e.Host, Zone: e.Zone}, levels: make(map[string]seenLevel)}
 		l.states[key] = s
 	}
+	if found && s.incarnation != e.Target.Incarnation {
+		// The failures belong to the earlier life of the target.
+		s.Failures, s.RetryAt, s.probeAt = 0, time.Time{}, time.Time{}
+	}
 	if !found || !s.seen.Equal(before) || s.incarnation != e.Target.Incarnation {
 		s.since = now
 	}
--- a/internal/mesh/route/route_test.go
+++ b/internal/mesh/route/route_test.go
@@ -232,3 +232,19 @@
 		}
 	}
 }
+
+// TestNewLifeEndsFailures guards against a restarted target that stays away
+// for the backoff of its earlier life.
+func TestNewLifeEndsFailures(t *testing.T) {
+	endpoints := testEndpoints()[:1]
+	p := newPicker(endpoints)
+	r := refused(header.TargetUnreachable, mesh.ClassLow)
+	r.To = endpoints[0]
+	p.Report(testStart, r)
+	for _, want := range []bool{false, true} {
+		if _, refusal := p.Pick(testStart, testCall(0), "near", endpoints, nil); (refusal == nil) != want {
+			t.Errorf("incarnation %d: got %v, want a choice: %v", endpoints[0].Target.Incarnation, refusal, want)
+		}
+		endpoints[0].Target.Incarnation++
+	}
+}
