--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -316,20 +316,83 @@
 }
 
 // TestLevel guards against a level that refuses a class of which some still
-// run, or that stays after the overload.
+// run, that accepts one which only waits in vain, or that stays after the
+// overload.
 func TestLevel(t *testing.T) {
-	g := New(NewFixed(1), WithQueue(NewFair(1, 20*time.Millisecond)))
-	late := testStart.Add(time.Minute)
-	run(g, testStart,
-		Arrival{Ticket: 1, Call: testCall(1, "a", late)}, Arrival{Ticket: 2, Call: testCall(1, "a", late)},
-		Arrival{Ticket: 3, Call: testCall(2, "a", late)},
-	)
+	late, soon := testStart.Add(time.Minute), testStart.Add(testWork)
 	for _, c := range []struct {
-		later time.Duration
-		want  mesh.Class
-	}{{0, mesh.ClassHigh}, {levelDelays*defaultDelay + 1, mesh.ClassLow}} {
-		if got := g.Level(testStart.Add(c.later)); got != c.want {
-			t.Errorf("after %v: got %v, want %v", c.later, got, c.want)
+		name string
+
+		// first runs, second waits, third finds the queue full.
+		first, second, third mesh.Class
+		deadline             time.Time
+		later                time.Duration
+		want                 mesh.Class
+	}{
+		{"one class refused", 1, 1, 2, late, 0, mesh.ClassHigh},
+		{"some of the class run", 3, 3, 3, late, 0, mesh.ClassLow},
+		{"overload ends", 1, 1, 2, late, levelDelays*defaultDelay + 1, mesh.ClassLow},
+		{"waits in vain", 0, 2, 2, soon, testWork, mesh.ClassHigh},
+	} {
+		g := New(NewFixed(1), WithQueue(NewFair(1, 20*time.Millisecond)))
+		run(g, testStart, Arrival{Ticket: 1, Call: testCall(c.first, "a", late)}, Arrival{Ticket: 2, Call: testCall(c.second, "a", c.deadline)})
+		if c.deadline == late {
+			run(g, testStart, Arrival{Ticket: 3, Call: testCall(c.third, "a", late)})
+		}
+		now := testStart.Add(c.later)
+		run(g, now, Elapsed{})
+		if got := g.Level(now); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestStandingQueue guards against requests that wait in vain under a lasting
+// overload until no time is left to try another target, and against refusing
+// a burst that the target works off in time.
+func TestStandingQueue(t *testing.T) {
+	for _, c := range []struct {
+		name string
+
+		// arrivals come in each service time, in the first or in all of them.
+		first, all int
+
+		// least and most bound the refusals. Of the 200 arrivals beyond what
+		// runs, those of the last ten service times still wait.
+		least, most int
+	}{
+		{"burst", 60, 0, 0, 0},
+		{"lasting overload", 3, 3, 170, 180},
+	} {
+		g := New(NewFixed(1))
+		ticket, running, shed := Ticket(0), Ticket(0), 0
+		for i := range 100 {
+			now := testStart.Add(time.Duration(i) * testWork)
+			events := []mesh.Event{Finished{Ticket: running, Latency: testWork}, Elapsed{}}
+			arrivals := c.all
+			if i == 0 {
+				arrivals = c.first
+			}
+			for range arrivals {
+				ticket++
+				events = append(events, Arrival{Ticket: ticket, Call: testCall(2, "a", now.Add(time.Minute))})
+			}
+			for _, e := range events {
+				for _, a := range g.Step(now, e) {
+					switch a := a.(type) {
+					case Start:
+						running = a.Ticket
+					case Refuse:
+						shed++
+						if a.Refusal.Code != header.Overloaded {
+							t.Errorf("%s: got %v, want code %q", c.name, a.Refusal, header.Overloaded)
+						}
+					}
+				}
+			}
+		}
+		if shed < c.least || shed > c.most {
+			t.Errorf("%s: got %d shed, want from %d to %d", c.name, shed, c.least, c.most)
 		}
 	}
 }
