claim: decide on claims in batches, with release and expiry

Cause: claims were written one at a time by the duty itself, were never released or deleted, and an unavailable platform counted as not run without a look at what the write had done.

The book is a pure step function. A claim is conditional on the version of its row, rows are not deleted while their ids are accepted, and a claim that was given up is fenced off by a write that moves the row to another version. So a lost write that takes effect later finds its condition gone. One row shows whether a lost transaction took effect, since it takes effect as a whole. A conflict splits the other claims of its batch into two transactions.

Ruled out: deleting the row on release, because a late claim would then find it absent again; an unconditional write as free, because a late one would free the claim of the next attempt; ages by the clock alone for expiry, because raising claim-keep would accept ids whose rows are gone.

--- /dev/null
+++ b/internal/mesh/claim/book.go
@@ -0,0 +1,521 @@
+package claim
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+const (
+	// MaxBatch is how many claims one transaction may carry.
+	MaxBatch = 100
+
+	// maxReads is how many rows are read in one go. Reads are made one after
+	// the other, so a longer list would hold up claims behind it.
+	maxReads = 8
+
+	// maxInFlight is how many batches may be at the platform at a time.
+	// Claims gather in the next batch meanwhile.
+	maxInFlight = 4
+
+	// linger is how long the first claim of a batch waits for others.
+	linger = 2 * time.Millisecond
+
+	// maxEntries bounds the attempts that the book knows.
+	maxEntries = 16 << 10
+
+	// firstPause follows a first failure of the platform; it doubles with
+	// each further one up to maxPause.
+	firstPause = 100 * time.Millisecond
+	maxPause   = 5 * time.Second
+
+	// heldGrace is how long after its deadline a granted claim can still be
+	// dropped. A later one stays claimed.
+	heldGrace = time.Second
+)
+
+// stage is how far an attempt is.
+type stage uint8
+
+const (
+	// claiming waits for its row to be written.
+	claiming stage = iota
+
+	// held was granted.
+	held
+
+	// freeing did not run and has to move its row on.
+	freeing
+
+	// done is forgotten.
+	done
+)
+
+// entry is one attempt.
+type entry struct {
+	key   string
+	call  *mesh.Call
+	stage stage
+
+	// base is the version that every claim of this attempt which may still
+	// take effect is conditional on; 0 means that the row is absent.
+	base uint64
+
+	// row is the version that the write as free is conditional on.
+	row uint64
+
+	// tried holds the transactions that may have claimed the row.
+	tried []*Batch
+
+	// look is true when the row must be read before the next write.
+	look bool
+
+	// busy is true while the entry is in a queue or at the platform.
+	busy bool
+}
+
+// Book is the owner's record of the attempts of this node.
+type Book struct {
+	nonce   func() Nonce
+	entries map[string]*entry
+
+	// held holds granted entries in the order of their grants.
+	held []*entry
+
+	// writes and reads are due. Groups are parts of a batch that met a
+	// conflict; probes find out whether a lost transaction took effect.
+	writes []*entry
+	reads  []*entry
+	groups [][]*entry
+	probes []*Batch
+
+	// inFlight is at most maxInFlight.
+	inFlight int
+
+	// lingerUntil is when the queue of writes goes out even if it is short.
+	lingerUntil time.Time
+
+	// pausedUntil is when the platform is tried again; failures counts its
+	// failures in a row.
+	pausedUntil time.Time
+	failures    int
+
+	// keep is how long claims are kept, by the settings last seen.
+	keep time.Duration
+
+	floor floor
+	sweep sweep
+	out   []Action
+}
+
+// New returns an empty book. Nonce must never return a value twice in the
+// fleet.
+func New(nonce func() Nonce) (b *Book) {
+	return &Book{nonce: nonce, entries: make(map[string]*entry)}
+}
+
+// Len returns the number of attempts that the book knows.
+func (b *Book) Len() (n int) { return len(b.entries) }
+
+// Step takes in one event.
+func (b *Book) Step(now time.Time, event mesh.Event) (actions []Action) {
+	b.out = nil
+	switch e := event.(type) {
+	case Wanted:
+		b.wanted(now, e)
+	case Dropped:
+		b.dropped(now, e.Call)
+	case Written:
+		b.inFlight--
+		b.written(now, e)
+	case Unsent:
+		b.inFlight--
+		b.unsent(now, e.Batch)
+	case Seen:
+		b.inFlight--
+		b.seen(now, e)
+	}
+	b.flush(now)
+	return b.out
+}
+
+// Next returns when the book wants an Elapsed event; zero means not.
+func (b *Book) Next() (at time.Time) {
+	waiting := len(b.reads) + len(b.probes)
+	if !b.floor.reading {
+		waiting += len(b.writes) + len(b.groups)
+	}
+	switch {
+	case waiting == 0 || len(b.entries) == 0 || b.inFlight >= maxInFlight:
+		return time.Time{}
+	case b.pausedUntil.After(b.lingerUntil):
+		return b.pausedUntil
+	default:
+		return b.lingerUntil
+	}
+}
+
+func (b *Book) act(a Action) { b.out = append(b.out, a) }
+
+func (b *Book) refuse(c *mesh.Call, r *mesh.Refusal) { b.act(Refuse{Call: c, Refusal: r}) }
+
+// wanted starts an attempt or refuses it.
+func (b *Book) wanted(now time.Time, w Wanted) {
+	if refusal := b.check(now, w); refusal != nil {
+		b.refuse(w.Call, refusal)
+		return
+	}
+	e := &entry{key: Key(w.Call), call: w.Call}
+	b.entries[e.key] = e
+	b.queue(now, e)
+}
+
+// check returns why an attempt is refused before anything is written.
+func (b *Book) check(now time.Time, w Wanted) (refusal *mesh.Refusal) {
+	b.forget(now)
+	b.keep = w.Keep
+	made := w.Call.ID.Time()
+	earlier, found := b.entries[Key(w.Call)]
+	switch {
+	case made.After(now.Add(clockError)):
+		return mesh.NotRun(header.RequestIDMalformed, "request id %s was made in the future", w.Call.ID)
+	case made.Before(now.Add(-w.Keep)), made.Before(b.floor.at):
+		return expired(w.Call)
+	case found && earlier.stage == freeing:
+		refusal = unavailable("an earlier attempt of request %s, which did not run, is being released", w.Call.ID)
+		refusal.RetryAfter = firstPause
+		return refusal
+	case found:
+		return started(w.Call)
+	case now.Before(b.pausedUntil):
+		refusal = unavailable("the platform does not answer")
+		refusal.RetryAfter = b.pausedUntil.Sub(now)
+		return refusal
+	case len(b.entries) >= maxEntries:
+		return mesh.NotRun(header.NodeBusy, "the node has no room to record the request")
+	}
+	return nil
+}
+
+// forget drops granted entries that nothing can release any more, and the
+// oldest ones when there are too many.
+func (b *Book) forget(now time.Time) {
+	for len(b.held) > 0 {
+		e := b.held[0]
+		over := now.After(e.call.Deadline.Add(heldGrace)) || len(b.entries) >= maxEntries
+		if e.stage == held && !over {
+			return
+		}
+		if e.stage == held {
+			b.remove(e)
+		}
+		b.held = b.held[1:]
+	}
+}
+
+func (b *Book) remove(e *entry) {
+	e.stage = done
+	if b.entries[e.key] == e {
+		delete(b.entries, e.key)
+	}
+}
+
+// dropped frees the claim of an attempt that did not run.
+func (b *Book) dropped(now time.Time, c *mesh.Call) {
+	e, found := b.entries[Key(c)]
+	switch {
+	case !found || e.call != c:
+		b.act(Freed{Call: c})
+	case e.stage == claiming && len(e.tried) == 0:
+		b.finish(e)
+	default:
+		b.free(now, e)
+	}
+}
+
+// finish ends an attempt that did not run and whose row holds up no other.
+func (b *Book) finish(e *entry) {
+	b.remove(e)
+	b.act(Freed{Call: e.call})
+}
+
+// free starts to move the row of an attempt on.
+func (b *Book) free(now time.Time, e *entry) {
+	if e.stage != freeing {
+		e.stage, e.look = freeing, true
+	}
+	if !e.busy {
+		b.queue(now, e)
+	}
+}
+
+// giveUp refuses a claim that cannot be had now and fences off what was
+// written for it.
+func (b *Book) giveUp(now time.Time, e *entry, refusal *mesh.Refusal) {
+	b.refuse(e.call, refusal)
+	if len(e.tried) == 0 {
+		b.finish(e)
+		return
+	}
+	b.free(now, e)
+}
+
+// queue puts an entry where its next step is due.
+func (b *Book) queue(now time.Time, e *entry) {
+	e.busy = true
+	if e.look {
+		b.reads = append(b.reads, e)
+		return
+	}
+	if len(b.writes) == 0 {
+		b.lingerUntil = now.Add(linger)
+	}
+	b.writes = append(b.writes, e)
+}
+
+// requeue continues entries whose last step brought nothing final.
+func (b *Book) requeue(now time.Time, entries []*entry) {
+	for _, e := range entries {
+		e.busy = false
+		if e.stage == claiming || e.stage == freeing {
+			b.queue(now, e)
+		}
+	}
+}
+
+// written takes in the outcome of a transaction.
+func (b *Book) written(now time.Time, w Written) {
+	var conflict *mesh.ConflictError
+	switch {
+	case w.Batch.sweep:
+		b.sweepEnded(now, w.Err)
+	case w.Err == nil:
+		b.failures = 0
+		b.landed(now, w.Batch)
+		b.requeue(now, w.Batch.entries)
+	case errors.As(w.Err, &conflict):
+		b.failures = 0
+		b.conflicted(now, w.Batch, conflict.Current)
+	default:
+		b.probes = append(b.probes, &Batch{entries: w.Batch.entries[:1], rest: w.Batch})
+	}
+}
+
+// landed grants or ends the attempts of a transaction that took effect. It
+// takes effect as a whole, so one of its rows proves it for all.
+func (b *Book) landed(now time.Time, batch *Batch) {
+	for i, e := range batch.entries {
+		switch {
+		case e.stage == freeing && batch.frees[i]:
+			b.finish(e)
+		case e.stage == claiming:
+			b.grant(now, e)
+		}
+	}
+}
+
+// grant lets an attempt run whose claim is known to have taken effect.
+func (b *Book) grant(now time.Time, e *entry) {
+	switch {
+	case e.call.Remaining(now) <= 0:
+		b.giveUp(now, e, mesh.NotRun(header.DeadlineExceeded, "the deadline passed while the request was recorded"))
+	case !b.floor.covers(now, e.call.ID):
+		b.giveUp(now, e, unavailable("the platform was out of reach for too long while the request was recorded"))
+	default:
+		e.stage = held
+		b.held = append(b.held, e)
+		b.act(Grant{Call: e.call})
+	}
+}
+
+// conflicted takes in the row that made a transaction fail. The others are
+// tried again in two halves, so that a few conflicts cannot hold up the
+// claims beside them for long.
+func (b *Book) conflicted(now time.Time, batch *Batch, current mesh.Row) {
+	var others []*entry
+	for _, e := range batch.entries {
+		if e.key != current.Key {
+			others = append(others, e)
+			continue
+		}
+		e.busy = false
+		b.observe(now, e, current)
+	}
+	if len(others) == len(batch.entries) {
+		b.requeue(now, others)
+		return
+	}
+	half := (len(others) + 1) / 2
+	for _, part := range [][]*entry{others[:half], others[half:]} {
+		if len(part) > 0 {
+			b.groups = append(b.groups, part)
+		}
+	}
+}
+
+// observe takes in the row of an entry that is not busy.
+func (b *Book) observe(now time.Time, e *entry, row mesh.Row) {
+	switch e.stage {
+	case claiming:
+		b.observeClaiming(now, e, row)
+	case freeing:
+		b.observeFreeing(now, e, row)
+	}
+}
+
+func (b *Book) observeClaiming(now time.Time, e *entry, row mesh.Row) {
+	record := ParseRecord(row.Value)
+	own := e.own(row, record)
+	switch {
+	case own != nil:
+		b.landed(now, own)
+	case row.Version == 0 && e.base != 0:
+		// A row only goes away when its id is too old.
+		b.refuse(e.call, expired(e.call))
+		b.remove(e)
+	case row.Version != 0 && record.Kind == Claimed:
+		b.refuse(e.call, started(e.call))
+		b.remove(e)
+	default:
+		e.base, e.look = row.Version, false
+		b.queue(now, e)
+	}
+}
+
+func (b *Book) observeFreeing(now time.Time, e *entry, row mesh.Row) {
+	if e.own(row, ParseRecord(row.Value)) == nil && row.Version != e.base {
+		b.finish(e)
+		return
+	}
+	e.row, e.look = row.Version, false
+	b.queue(now, e)
+}
+
+// own returns the transaction of this attempt that claimed the row, or nil.
+func (e *entry) own(row mesh.Row, record Record) (batch *Batch) {
+	if row.Version == 0 || record.Kind != Claimed {
+		return nil
+	}
+	for _, t := range e.tried {
+		if t.nonce == record.Nonce {
+			return t
+		}
+	}
+	return nil
+}
+
+// unsent takes back a batch that never left the node.
+func (b *Book) unsent(now time.Time, batch *Batch) {
+	if batch.sweep {
+		b.sweepEnded(now, mesh.ErrPlatformUnavailable)
+		return
+	}
+	if len(batch.frees) == 0 {
+		b.seen(now, Seen{Batch: batch, Err: mesh.ErrPlatformUnavailable})
+		return
+	}
+	for _, e := range batch.entries {
+		e.tried = slices.DeleteFunc(e.tried, func(t *Batch) bool { return t == batch })
+	}
+	b.fail(now, batch.entries, mesh.NotRun(header.NodeBusy, "the platform is busy"))
+}
+
+// seen takes in rows that were read.
+func (b *Book) seen(now time.Time, s Seen) {
+	switch {
+	case s.Batch.sweep:
+		b.sweepEnded(now, s.Err)
+		if s.Err == nil {
+			b.sweepListed(s.Rows)
+		}
+		return
+	case s.Batch.floor:
+		b.floor.reading = false
+		if s.Err == nil {
+			b.failures = 0
+			b.floor.read(now, s.Batch.asked, s.Rows[0])
+			b.sweepSeen(now, s.Rows[0])
+			return
+		}
+	case s.Batch.rest != nil && s.Err == nil:
+		b.probed(now, s.Batch.rest, s.Rows[0])
+		return
+	}
+	entries := s.Batch.entries
+	if s.Batch.rest != nil {
+		entries = s.Batch.rest.entries
+	}
+	for i, row := range s.Rows {
+		b.failures = 0
+		entries[i].busy = false
+		b.observe(now, entries[i], row)
+	}
+	if s.Err != nil {
+		b.fail(now, entries[len(s.Rows):], unavailable("the platform does not answer"))
+	}
+}
+
+// probed decides from the row of its first entry whether a lost transaction
+// took effect. If it did not, it may still do so; its claims are written again
+// under the same conditions, which only one of both can meet.
+func (b *Book) probed(now time.Time, lost *Batch, row mesh.Row) {
+	b.failures = 0
+	if row.Version != 0 && ParseRecord(row.Value).Nonce == lost.nonce {
+		b.landed(now, lost)
+		b.requeue(now, lost.entries)
+		return
+	}
+	lost.entries[0].busy = false
+	b.observe(now, lost.entries[0], row)
+	b.requeue(now, lost.entries[1:])
+}
+
+// fail pauses the platform. The claims that wait for it are refused, so that
+// they hold no slots of their targets meanwhile.
+func (b *Book) fail(now time.Time, entries []*entry, refusal *mesh.Refusal) {
+	b.pausedUntil = now.Add(min(maxPause, firstPause<<min(b.failures, 10)))
+	b.failures++
+	waiting := slices.Concat(entries, b.writes, b.reads)
+	for _, g := range b.groups {
+		waiting = append(waiting, g...)
+	}
+	b.writes, b.reads, b.groups = nil, nil, nil
+	for _, p := range b.probes {
+		b.failClaims(now, p.rest.entries, refusal)
+	}
+	for _, e := range waiting {
+		e.busy = false
+		switch e.stage {
+		case claiming:
+			b.giveUp(now, e, refusal)
+		case freeing:
+			e.look = true
+			b.queue(now, e)
+		}
+	}
+}
+
+// failClaims refuses the claims of a lost transaction that is still to be looked
+// into.
+func (b *Book) failClaims(now time.Time, entries []*entry, refusal *mesh.Refusal) {
+	for _, e := range entries {
+		if e.stage == claiming {
+			b.giveUp(now, e, refusal)
+		}
+	}
+}
+
+func expired(c *mesh.Call) (refusal *mesh.Refusal) {
+	return mesh.Unknown(header.RequestIDExpired, "request id %s is too old to tell whether the request ran", c.ID)
+}
+
+func started(c *mesh.Call) (refusal *mesh.Refusal) {
+	return mesh.Unknown(header.AlreadyClaimed, "request %s was started before", c.ID)
+}
+
+func unavailable(format string, args ...any) (refusal *mesh.Refusal) {
+	return mesh.NotRun(header.ClaimUnavailable, format, args...)
+}
--- /dev/null
+++ b/internal/mesh/claim/event.go
@@ -0,0 +1,111 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// Wanted asks for the claim of a call. The call's address names the attempt.
+type Wanted struct {
+	Call *mesh.Call
+
+	// Keep is how long claims are kept.
+	Keep time.Duration
+}
+
+// Dropped says that an attempt did not run and will not. It may come at any
+// time after Wanted.
+type Dropped struct{ Call *mesh.Call }
+
+// Written brings the outcome of a Commit.
+type Written struct {
+	Batch *Batch
+	Err   error
+}
+
+// Unsent says that a batch was not handed to the platform.
+type Unsent struct{ Batch *Batch }
+
+// Seen brings the rows that a Fetch asked for. Rows has one row for each key,
+// with Version 0 for an absent one.
+type Seen struct {
+	Batch *Batch
+	Rows  []mesh.Row
+	Err   error
+}
+
+// Elapsed says that the time of Next has come.
+type Elapsed struct{}
+
+// EventName implements mesh.Event.
+func (Wanted) EventName() string { return "claim-wanted" }
+
+// EventName implements mesh.Event.
+func (Dropped) EventName() string { return "claim-dropped" }
+
+// EventName implements mesh.Event.
+func (Written) EventName() string { return "claim-written" }
+
+// EventName implements mesh.Event.
+func (Unsent) EventName() string { return "claim-unsent" }
+
+// EventName implements mesh.Event.
+func (Seen) EventName() string { return "claim-seen" }
+
+// EventName implements mesh.Event.
+func (Elapsed) EventName() string { return "elapsed" }
+
+// Action is something for the owner of the book to do.
+type Action interface{ action() }
+
+// Commit writes a batch in one transaction. Written follows.
+type Commit struct {
+	Batch  *Batch
+	Writes []mesh.Write
+}
+
+// Fetch reads rows. Seen follows.
+type Fetch struct {
+	Batch *Batch
+	Keys  []string
+}
+
+// Grant lets an attempt run.
+type Grant struct{ Call *mesh.Call }
+
+// Refuse turns an attempt away.
+type Refuse struct {
+	Call    *mesh.Call
+	Refusal *mesh.Refusal
+}
+
+// Freed says that the claim of a dropped attempt holds up no other attempt, or
+// that the book no longer knows it.
+type Freed struct{ Call *mesh.Call }
+
+func (Commit) action() {}
+func (Fetch) action()  {}
+func (Grant) action()  {}
+func (Refuse) action() {}
+func (Freed) action()  {}
+
+// Batch is one transaction, or one reading of rows.
+type Batch struct {
+	nonce   Nonce
+	entries []*entry
+
+	// frees tells for each entry whether it was written as free.
+	frees []bool
+
+	// rest holds the entries of a lost transaction that wait until the row
+	// of one of them was read.
+	rest *Batch
+
+	// floor is true for the reading of the floor, which began at asked.
+	floor bool
+	asked time.Time
+
+	// sweep is true for a batch of the sweep.
+	sweep bool
+}
