retry: ratio budget per link, and a budget that cannot be returned twice

Cause: nothing bounded the retries of a link, so when all targets refuse, each request used its whole budget. A budget could be returned twice, and an answer that claimed more than it was given was credited with all of it. With the whole budget under way, an idempotent request was never repeated after a lost answer. A request whose first attempt may have run was refused as not run when a later attempt was.

An idempotent call keeps one attempt at its sender. An answer that claims more than it was given returns nothing. An attempt with an unknown outcome makes the outcome of the request unknown. A retry whose backoff would end after the deadline is not made. Backoff takes its random source as an argument.

Ruled out: charging the link that takes the retry, since the choice of a target would have to be made, and undone, before the budget is known.

--- /dev/null
+++ b/internal/mesh/calls/calls_test.go
@@ -0,0 +1,42 @@
+package calls
+
+import (
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// TestDeeper guards against deeper calls that outlive their delivery or its
+// deadline, that share a request id, or that take more than its retry budget.
+func TestDeeper(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	route := &mesh.Route{Service: "ledger", Name: "all", Timeout: time.Minute}
+	b := New()
+	b.Open("token", &mesh.Call{Route: route, Deadline: now.Add(time.Second), Attempts: 3})
+	seen := make(map[mesh.RequestID]bool)
+	for i, want := range []int{2, 1, 0} {
+		c, refusal := b.Deeper(now, "token", route)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		if got := c.Attempts; got != want {
+			t.Errorf("deeper call %d: got %d attempts, want %d", i, got, want)
+		}
+		if c.Deadline.After(now.Add(time.Second)) || seen[c.ID] {
+			t.Errorf("deeper call %d: got deadline %v and id %v, want them within the delivery's and new", i, c.Deadline, c.ID)
+		}
+		seen[c.ID] = true
+	}
+	for _, returned := range []int{2, 2, 7} {
+		b.Returned("token", 2, returned, mesh.ClassLow)
+	}
+	if got, _ := b.Close("token"); got != 2 {
+		t.Errorf("got %d attempts left, want the 2 that came back once", got)
+	}
+	b.Returned("token", 1, 1, mesh.ClassLow)
+	if _, refusal := b.Deeper(now, "token", route); refusal == nil || refusal.Code != header.CallEnded || refusal.Outcome != header.NotRun {
+		t.Errorf("after the delivery: got %v, want it refused as not run, call ended", refusal)
+	}
+}
--- a/internal/mesh/node/calls.go
+++ b/internal/mesh/node/calls.go
@@ -4,25 +4,29 @@
 	"context"
 	"crypto/rand"
 	"expvar"
+	"net/netip"
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/calls"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/retry"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
 const callsRing = 4096
 
-// callsDuty owns the deliveries that run at the targets of this host. Full
-// ring: a new delivery or deeper call is refused; ends of calls wait.
+// callsDuty owns the deliveries that run at the targets of this host, and the
+// retry budgets of this node's links. Full ring: a new delivery, deeper call or
+// retry is refused, a count is dropped; ends of calls wait.
 type callsDuty struct {
 	book   *calls.Book
+	ratios *retry.Ratios
 	events *ring.Ring
 }
 
 func newCallsDuty(vars *expvar.Map) (d *callsDuty) {
-	return &callsDuty{book: calls.New(), events: ring.New(vars, "calls", callsRing)}
+	return &callsDuty{book: calls.New(), ratios: retry.NewRatios(), events: ring.New(vars, "calls", callsRing)}
 }
 
 // Name implements mesh.Duty.
@@ -35,15 +39,15 @@
 		case <-ctx.Done():
 			return nil
 		case e := <-d.events.Events():
-			e.(callsEvent).step(time.Now(), d.book)
+			e.(callsEvent).step(time.Now(), d)
 		}
 	}
 }
 
-// callsEvent is one operation on the book of deliveries.
+// callsEvent is one operation on the duty's state.
 type callsEvent interface {
 	mesh.Event
-	step(now time.Time, book *calls.Book)
+	step(now time.Time, d *callsDuty)
 }
 
 type openDelivery struct {
@@ -74,13 +78,30 @@
 	level           mesh.Class
 }
 
+// countCall says that a call goes over a link.
+type countCall struct{ link netip.AddrPort }
+
+// takeRetry asks for a retry after a failed call over a link.
+type takeRetry struct {
+	link  netip.AddrPort
+	ratio float64
+	reply ring.Reply
+}
+
 type callsAnswer struct {
 	call     *mesh.Call
 	refusal  *mesh.Refusal
 	attempts int
 	level    mesh.Class
+	allowed  bool
 }
 
+// EventName implements mesh.Event.
+func (countCall) EventName() string { return "count-call" }
+
+// EventName implements mesh.Event.
+func (takeRetry) EventName() string { return "take-retry" }
+
 // EventName implements mesh.Event.
 func (openDelivery) EventName() string { return "open-delivery" }
 
@@ -99,18 +120,18 @@
 // EventName implements mesh.Event.
 func (callsAnswer) EventName() string { return "calls-answer" }
 
-func (e openDelivery) step(_ time.Time, book *calls.Book) {
-	book.Open(e.token, e.call)
+func (e openDelivery) step(_ time.Time, d *callsDuty) {
+	d.book.Open(e.token, e.call)
 	e.reply.Answer(callsAnswer{})
 }
 
-func (e closeDelivery) step(_ time.Time, book *calls.Book) {
-	attempts, level := book.Close(e.token)
+func (e closeDelivery) step(_ time.Time, d *callsDuty) {
+	attempts, level := d.book.Close(e.token)
 	e.reply.Answer(callsAnswer{attempts: attempts, level: level})
 }
 
-func (e findDelivery) step(_ time.Time, book *calls.Book) {
-	call, found := book.Call(e.token)
+func (e findDelivery) step(_ time.Time, d *callsDuty) {
+	call, found := d.book.Call(e.token)
 	if !found {
 		e.reply.Answer(callsAnswer{refusal: callEnded()})
 		return
@@ -118,13 +139,19 @@
 	e.reply.Answer(callsAnswer{call: call})
 }
 
-func (e makeDeeper) step(now time.Time, book *calls.Book) {
-	call, refusal := book.Deeper(now, e.token, e.route)
+func (e makeDeeper) step(now time.Time, d *callsDuty) {
+	call, refusal := d.book.Deeper(now, e.token, e.route)
 	e.reply.Answer(callsAnswer{call: call, refusal: refusal})
 }
 
-func (e returnDeeper) step(_ time.Time, book *calls.Book) {
-	book.Returned(e.token, e.given, e.returned, e.level)
+func (e returnDeeper) step(_ time.Time, d *callsDuty) {
+	d.book.Returned(e.token, e.given, e.returned, e.level)
+}
+
+func (e countCall) step(now time.Time, d *callsDuty) { d.ratios.Called(now, e.link) }
+
+func (e takeRetry) step(now time.Time, d *callsDuty) {
+	e.reply.Answer(callsAnswer{allowed: d.ratios.Retry(now, e.link, e.ratio)})
 }
 
 func callEnded() (refusal *mesh.Refusal) {
@@ -174,3 +201,13 @@
 func (d *callsDuty) Returned(token calls.Token, given, returned int, level mesh.Class) {
 	_ = d.events.Send(context.Background(), returnDeeper{token: token, given: given, returned: returned, level: level})
 }
+
+// Called counts a call over a link.
+func (d *callsDuty) Called(link netip.AddrPort) { d.events.Offer(countCall{link: link}) }
+
+// MayRetry takes a retry after a failed call over a link from the budget of
+// that link.
+func (d *callsDuty) MayRetry(link netip.AddrPort, ratio float64) (allowed bool) {
+	reply := ring.NewReply()
+	return d.ask(takeRetry{link: link, ratio: ratio, reply: reply}, reply).allowed
+}
--- a/internal/mesh/node/relay.go
+++ b/internal/mesh/node/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -16,27 +17,71 @@
 	pot := retry.NewPot(call.Attempts)
 	var tried []netip.AddrPort
 	for attempt := 0; ; attempt++ {
-		if refusal := f.stillValid(call); refusal != nil {
-			return nil, pot.Left(), refusal
-		}
-		to, refusal := f.route.Pick(call, tried)
-		if refusal != nil {
-			return nil, pot.Left(), refusal
+		to, failure := f.choose(call, tried)
+		if failure != nil {
+			return nil, pot.Left(), latter(refusal, failure)
 		}
 		try := *call
-		try.Attempts = pot.TakeAll()
-		answer, left, refusal := f.attempt(ctx, to, &try, payload)
+		try.Attempts = pot.TakeAllBut(keptAttempts(call))
+		f.calls.Called(to.Host)
+		answer, left, failure := f.attempt(ctx, to, &try, payload)
 		pot.Return(try.Attempts, left)
-		if refusal == nil {
+		if failure == nil {
 			return answer, pot.Left(), nil
 		}
 		tried = append(tried, to.Host)
-		if !mayRetry(call, refusal) || !pot.Spend() || !wait(ctx, retry.Backoff(attempt)) {
+		refusal = latter(refusal, failure)
+		if !mayRetry(call, failure) || !f.takeRetry(ctx, call, to, pot, attempt) {
 			return nil, pot.Left(), refusal
 		}
 	}
 }
 
+// keptAttempts returns how much of the retry budget stays here while a call is
+// under way. What goes along is lost with a lost answer, and only an idempotent
+// call may be repeated after one.
+func keptAttempts(call *mesh.Call) (attempts int) {
+	if call.Route.Idempotent {
+		return 1
+	}
+	return 0
+}
+
+// choose returns the target of the next attempt.
+func (f *front) choose(call *mesh.Call, tried []netip.AddrPort) (to mesh.Endpoint, refusal *mesh.Refusal) {
+	if refusal := f.stillValid(call); refusal != nil {
+		return to, refusal
+	}
+	return f.route.Pick(call, tried)
+}
+
+// latter returns how a request ends whose attempts ended as earlier and then as
+// last. An attempt that may have run makes the outcome unknown, whatever
+// follows.
+func latter(earlier, last *mesh.Refusal) (refusal *mesh.Refusal) {
+	switch {
+	case earlier == nil:
+		return last
+	case earlier.Outcome == header.Unknown && last.Outcome == header.NotRun, last.Code == header.NoTarget:
+		return earlier
+	default:
+		return last
+	}
+}
+
+// takeRetry waits for the next attempt, or reports false when the budgets or
+// the deadline leave none.
+func (f *front) takeRetry(ctx context.Context, call *mesh.Call, failed mesh.Endpoint, pot *retry.Pot, attempt int) (allowed bool) {
+	backoff := retry.Backoff(attempt, rand.Int64N)
+	if pot.Left() == 0 || backoff >= call.Remaining(time.Now()) {
+		return false
+	}
+	if !f.calls.MayRetry(failed.Host, f.config.View().Index.Fleet.RetryRatio) {
+		return false
+	}
+	return pot.Spend() && wait(ctx, backoff)
+}
+
 // stillValid checks again what may have changed while a call waited.
 func (f *front) stillValid(call *mesh.Call) (refusal *mesh.Refusal) {
 	now := time.Now()
--- a/internal/mesh/retry/backoff.go
+++ b/internal/mesh/retry/backoff.go
@@ -1,9 +1,6 @@
 package retry
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 const (
 	// firstBackoff bounds the wait before the first retry; each further wait
@@ -13,8 +10,8 @@
 )
 
 // Backoff returns the wait before the retry that follows attempt, counted from
-// 0, with full jitter.
-func Backoff(attempt int) (wait time.Duration) {
+// 0, with full jitter. Random returns a number from 0 to below n.
+func Backoff(attempt int, random func(n int64) int64) (wait time.Duration) {
 	bound := min(maxBackoff, firstBackoff<<min(attempt, 16))
-	return rand.N(bound) + 1
+	return time.Duration(random(int64(bound))) + 1
 }
--- a/internal/mesh/retry/pot.go
+++ b/internal/mesh/retry/pot.go
@@ -3,7 +3,14 @@
 
 // Pot is the part of a request's retry budget that one node holds. Attempts
 // move between pots; no operation creates any.
-type Pot struct{ left int }
+type Pot struct {
+	// left is never negative.
+	left int
+
+	// out is what was handed out and not yet accounted for. It bounds what
+	// may come back, so an answer that is counted twice adds nothing.
+	out int
+}
 
 // NewPot returns a pot with what a call brought along.
 func NewPot(attempts int) (p *Pot) { return &Pot{left: max(0, attempts)} }
@@ -17,23 +24,32 @@
 	return true
 }
 
-// TakeAll hands the whole budget to a call that this node passes on.
-func (p *Pot) TakeAll() (attempts int) {
-	attempts, p.left = p.left, 0
-	return attempts
+// TakeAllBut hands the budget to a call that this node passes on and keeps up
+// to keep attempts, which stay when the answer of the call is lost.
+func (p *Pot) TakeAllBut(keep int) (attempts int) {
+	return p.take(p.left - min(keep, p.left))
 }
 
 // TakeHalf hands half of the budget, rounded up, to one of several deeper
 // calls of a target.
-func (p *Pot) TakeHalf() (attempts int) {
-	attempts = (p.left + 1) / 2
+func (p *Pot) TakeHalf() (attempts int) { return p.take((p.left + 1) / 2) }
+
+func (p *Pot) take(attempts int) int {
 	p.left -= attempts
+	p.out += attempts
 	return attempts
 }
 
-// Return adds back what an answer brought of a budget of given. An answer
-// cannot return more than was handed out.
-func (p *Pot) Return(given, returned int) { p.left += min(max(0, returned), given) }
+// Return adds back what an answer brought of a budget of given. An answer that
+// claims more than was handed out is wrong and says nothing of what was spent,
+// so it returns nothing.
+func (p *Pot) Return(given, returned int) {
+	given = min(max(0, given), p.out)
+	p.out -= given
+	if returned > 0 && returned <= given {
+		p.left += returned
+	}
+}
 
 // Left returns the attempts in the pot.
 func (p *Pot) Left() (attempts int) { return p.left }
