node: truthful outcomes on broken, crossed and late answers

The connection now counts what it read; an answer that needed no read after its request was written is not taken, and its connection is closed. - A node accepted an answer that named another request or none (TestAnswersOfNodes). Answers between nodes now carry the request id. - An answer without a level counted as one that accepts only critical requests. - A request whose key was withdrawn while its claim was recorded ran (TestKeyWithdrawnWhileClaimed). - A slot was held while a claim was released, and a request that its target refused was reported to the gate as one that never reached it.

These had no fault: replay by net/http on a broken kept-alive connection, with an Idempotency-Key and with an empty body; a target that closes without an answer; a refused connection; an answer cut off below and above 64 KiB; a late answer; a deeper call after its delivery. Their tests stay as guards.

Open: an answer to no request that arrives after the next request was written cannot be told apart on HTTP/1.1 unless the target names the request.

--- a/internal/mesh/node/carry.go
+++ b/internal/mesh/node/carry.go
@@ -38,17 +38,34 @@
 	dialTimeout = 500 * time.Millisecond
 )
 
-// countedConn counts the bytes written to a connection, which proves whether
-// any of a request left this host.
+// countedConn counts the bytes of a connection. What was written proves whether
+// any of a request left this host; what was read before a request was written
+// cannot be its answer.
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
+	read    atomic.Int64
+
+	// readBefore is what had been read when the present request was first
+	// written, or notWritten.
+	readBefore atomic.Int64
+}
+
+// notWritten stands for a request that was not yet written.
+const notWritten = -1
+
+// Read implements net.Conn.
+func (c *countedConn) Read(data []byte) (n int, err error) {
+	n, err = c.Conn.Read(data)
+	c.read.Add(int64(n))
+	return n, err
 }
 
 // Write implements net.Conn.
 func (c *countedConn) Write(data []byte) (n int, err error) {
 	// Counted before the write, so that a write in progress counts as well.
 	c.written.Add(int64(len(data)))
+	c.readBefore.CompareAndSwap(notWritten, c.read.Load())
 	return c.Conn.Write(data)
 }
 
@@ -78,12 +95,20 @@
 // Close implements io.Closer.
 func (singleUse) Close() error { return nil }
 
+// errCrossed means that an answer was there before its request was sent, as
+// after a target that answered the request before twice.
+var errCrossed = errors.New("the connection held an answer to no request")
+
 // exchange sends one request and says, when it fails, whether any byte of it
 // may have left this host.
 func exchange(ctx context.Context, transport http.RoundTripper, request *http.Request) (response *http.Response, sent bool, err error) {
 	var used connUse
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.got})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.got, GotFirstResponseByte: used.answered})
 	response, err = transport.RoundTrip(request.WithContext(ctx))
+	if err == nil && used.crossed.Load() {
+		response.Body.Close()
+		return nil, true, errCrossed
+	}
 	if err == nil {
 		return response, true, nil
 	}
@@ -99,6 +124,9 @@
 
 	// earlier is true when a connection before conn wrote some of the request.
 	earlier bool
+
+	// crossed is true when the answer cannot belong to the request.
+	crossed atomic.Bool
 }
 
 func (u *connUse) got(info httptrace.GotConnInfo) {
@@ -106,6 +134,22 @@
 	u.conn, _ = info.Conn.(*countedConn)
 	if u.conn != nil {
 		u.before = u.conn.written.Load()
+		u.conn.readBefore.Store(notWritten)
+	}
+}
+
+// answered runs in the only goroutine that reads from the connection, before it
+// parses the answer. An answer that came without a read since the request was
+// written had been there before. Its connection is closed, since the request's
+// own answer may still arrive.
+func (u *connUse) answered() {
+	c := u.conn
+	if c == nil {
+		return
+	}
+	if before := c.readBefore.Load(); before == notWritten || c.read.Load() == before {
+		u.crossed.Store(true)
+		_ = c.Close()
 	}
 }
 
@@ -191,7 +235,7 @@
 	if err != nil {
 		return nil, leftAfter(sent, call), failed(ctx, sent, err, "node of the target")
 	}
-	return takeAnswer(ctx, response)
+	return takeAnswer(ctx, call, response)
 }
 
 // leftAfter returns the retry budget that is certain to be left.
@@ -218,15 +262,20 @@
 	}
 }
 
-// takeAnswer reads what the node of a target answered.
-func takeAnswer(ctx context.Context, response *http.Response) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
+// takeAnswer reads what the node of a target answered. It says which request it
+// answers, so an answer to another one is not taken for this one's.
+func takeAnswer(ctx context.Context, call *mesh.Call, response *http.Response) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
+	outcome := header.OutcomeValue(response.Header.Get(header.Outcome))
+	if id := response.Header.Get(header.RequestID); id != call.ID.String() && (id != "" || outcome == header.Ran) {
+		response.Body.Close()
+		return nil, 0, mesh.Unknown(header.AnswerLost, "the node of the target answered request %q", id)
+	}
 	left, _ = strconv.Atoi(response.Header.Get(header.AttemptsLeft))
-	level, _ := strconv.Atoi(response.Header.Get(header.Level))
 	load, _ := strconv.Atoi(response.Header.Get(header.Load))
-	outcome := header.OutcomeValue(response.Header.Get(header.Outcome))
+	level := levelIn(response.Header)
 	if outcome != header.Ran {
 		response.Body.Close()
-		return nil, left, refusalOf(response, outcome, mesh.Class(level))
+		return nil, left, refusalOf(response, outcome, level)
 	}
 	body, err := takeBody(response)
 	if err != nil {
@@ -236,11 +285,20 @@
 		Status: response.StatusCode,
 		Header: passedHeader(response.Header),
 		Body:   body,
-		Level:  mesh.Class(level),
+		Level:  level,
 		Load:   load,
 	}, left, nil
 }
 
+// levelIn returns the level in an answer; one without a level accepts all.
+func levelIn(h http.Header) (level mesh.Class) {
+	number, err := strconv.Atoi(h.Get(header.Level))
+	if err != nil || number < 0 || number >= mesh.ClassCount {
+		return mesh.ClassLow
+	}
+	return mesh.Class(number)
+}
+
 // refusalOf returns the refusal that a node answered. An answer without a
 // known outcome promises nothing.
 func refusalOf(response *http.Response, outcome header.OutcomeValue, level mesh.Class) (refusal *mesh.Refusal) {
--- /dev/null
+++ b/internal/mesh/node/outcome_test.go
@@ -0,0 +1,573 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/store"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/tree"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+const (
+	testSecret = "a secret of the test fleet"
+
+	// testSettings has a route of each kind, with a budget for retries.
+	testSettings = `
+settings: {rate: 100000, burst: 100000, retries: 3, timeout: 2s}
+zones: {north: {region: luzon}}
+services:
+  ledger:
+    routes:
+      pay: {path: /pay}
+      read: {path: /read, settings: {idempotent: true}}
+organisations: {org: {}}
+`
+)
+
+// script answers the n-th request that a target takes, counted from 1, and
+// reports whether the connection goes on.
+type script func(n int, conn net.Conn, r *http.Request) (open bool)
+
+// scripted is a target whose connections do what a script says.
+type scripted struct {
+	listener net.Listener
+	script   script
+
+	mu    sync.Mutex
+	taken map[string]int
+	total int
+}
+
+func newScripted(t *testing.T, s script) (target *scripted) {
+	t.Helper()
+	target = &scripted{script: s, taken: make(map[string]int), listener: listen(t)}
+	go func() {
+		for {
+			conn, err := target.listener.Accept()
+			if err != nil {
+				return
+			}
+			go target.serve(conn)
+		}
+	}()
+	return target
+}
+
+func listen(t *testing.T) (l net.Listener) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func (s *scripted) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.mu.Lock()
+		s.taken[r.Header.Get(header.RequestID)]++
+		s.total++
+		n := s.total
+		s.mu.Unlock()
+		if !s.script(n, conn, r) {
+			return
+		}
+	}
+}
+
+// takenOf returns how often the target took a request.
+func (s *scripted) takenOf(id string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.taken[id]
+}
+
+func (s *scripted) addr() (a netip.AddrPort) {
+	return netip.MustParseAddrPort(s.listener.Addr().String())
+}
+
+func reply(conn net.Conn, head, body string) (open bool) {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	return err == nil
+}
+
+// answerID is the script of a target that works: it answers with the id of the
+// request.
+func answerID(_ int, conn net.Conn, r *http.Request) (open bool) {
+	return reply(conn, "", r.Header.Get(header.RequestID))
+}
+
+// rig is a node with a target, reached over loopback.
+type rig struct {
+	settings Settings
+	id       int
+}
+
+func freePort(t *testing.T) (a netip.AddrPort) {
+	t.Helper()
+	l := listen(t)
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func newRig(t *testing.T, target netip.AddrPort) (r *rig) {
+	t.Helper()
+	server := httptest.NewServer(stub.New().Handler())
+	t.Cleanup(server.Close)
+	platform := store.New(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	ctx, cancel := context.WithCancel(context.Background())
+	if _, err := admin.Put(ctx, platform, "test", []byte(testSettings)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := admin.Give(ctx, platform, "test", "org", mesh.HashKey("key")); err != nil {
+		t.Fatal(err)
+	}
+	r = &rig{settings: Settings{
+		Zone: "north", CallerListen: freePort(t), LocalListen: freePort(t), PeerListen: freePort(t), Secrets: []string{testSecret},
+	}}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	n, err := New(r.settings, WithPlatform(platform), WithLogger(logger))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	r.announce(t, target)
+	return r
+}
+
+// announce makes the target known once the node listens, and waits until the
+// node has its settings and chooses the target.
+func (r *rig) announce(t *testing.T, target netip.AddrPort) {
+	t.Helper()
+	body := fmt.Sprintf(`{"service":"ledger","addr":%q,"slots":64,"connections":640,"incarnation":%d}`, target, time.Now().UnixNano())
+	for range 500 {
+		request, _ := http.NewRequest(http.MethodPut, "http://"+r.settings.LocalListen.String()+"/quetzal/target", strings.NewReader(body))
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			response.Body.Close()
+		}
+		if err == nil && response.StatusCode == http.StatusNoContent {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for range 500 {
+		// A request to a missing route reaches no target.
+		if a := r.send(http.MethodGet, "/ledger/none", nil); a.code == header.RouteUnknown {
+			time.Sleep(20 * time.Millisecond)
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the node has no settings after 5 s")
+}
+
+// answered is what a caller sees.
+type answered struct {
+	id      string
+	outcome header.OutcomeValue
+	code    header.RefusalCode
+	body    string
+	broken  error
+}
+
+// send makes a request as a caller and reads the whole answer.
+func (r *rig) send(method, path string, body []byte, headers ...string) (a answered) {
+	request, _ := http.NewRequest(method, "http://"+r.settings.CallerListen.String()+path, bytes.NewReader(body))
+	request.Header.Set("Authorization", "Bearer key")
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answered{broken: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	h := response.Header
+	return answered{
+		id:      h.Get(header.RequestID),
+		outcome: header.OutcomeValue(h.Get(header.Outcome)),
+		code:    header.RefusalCode(h.Get(header.Code)),
+		body:    string(data),
+		broken:  err,
+	}
+}
+
+// TestNoReplayOnBrokenConnection guards against net/http, which repeats a
+// request by itself when a kept-alive connection breaks and the request has no
+// body or an Idempotency-Key.
+func TestNoReplayOnBrokenConnection(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path string
+		body               []byte
+		headers            []string
+	}{
+		{"GET", http.MethodGet, "/ledger/pay", nil, nil},
+		{"DELETE", http.MethodDelete, "/ledger/pay", nil, nil},
+		{"POST with an empty body and a key", http.MethodPost, "/ledger/pay", nil, []string{"Idempotency-Key", "1"}},
+		{"POST with a body and a key", http.MethodPost, "/ledger/pay", []byte("body"), []string{"X-Idempotency-Key", "1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			target := newScripted(t, func(n int, conn net.Conn, r *http.Request) bool {
+				return n%2 == 1 && answerID(n, conn, r)
+			})
+			r := newRig(t, target.addr())
+			if first := r.send(c.method, c.path, c.body, c.headers...); first.outcome != header.Ran {
+				t.Fatalf("first request: got %+v, want it run", first)
+			}
+			second := r.send(c.method, c.path, c.body, c.headers...)
+			if second.outcome != header.Unknown || target.takenOf(second.id) != 1 {
+				t.Errorf("got %+v, taken %d times, want an unknown outcome, taken once", second, target.takenOf(second.id))
+			}
+		})
+	}
+}
+
+// TestIdleConnectionClosed guards against a lie about a request that met a
+// connection which its target had just closed.
+func TestIdleConnectionClosed(t *testing.T) {
+	target := newScripted(t, func(n int, conn net.Conn, r *http.Request) bool {
+		answerID(n, conn, r)
+		return false
+	})
+	r := newRig(t, target.addr())
+	for range 300 {
+		a := r.send(http.MethodPost, "/ledger/pay", []byte("body"))
+		if got := target.takenOf(a.id); got > 1 || a.outcome == header.NotRun && got > 0 || a.outcome == header.Ran && a.body != a.id {
+			t.Fatalf("got %+v, taken %d times", a, got)
+		}
+	}
+}
+
+// TestOutcomes guards against an answer that says something else than what
+// happened to the request.
+func TestOutcomes(t *testing.T) {
+	part := strings.Repeat("x", maxHeldAnswer/2)
+	for _, c := range []struct {
+		name    string
+		path    string
+		script  script
+		outcome header.OutcomeValue
+		code    header.RefusalCode
+		taken   int
+	}{
+		{
+			"a target that closes without an answer", "/ledger/pay",
+			func(int, net.Conn, *http.Request) bool { return false },
+			header.Unknown, header.AnswerLost, 1,
+		},
+		{
+			"an idempotent request whose target closes without an answer", "/ledger/read",
+			func(int, net.Conn, *http.Request) bool { return false },
+			header.Unknown, header.AnswerLost, 1,
+		},
+		{
+			"a target that says that it did not run the request", "/ledger/pay",
+			func(_ int, conn net.Conn, _ *http.Request) bool {
+				return reply(conn, header.Outcome+": "+string(header.NotRun)+"\r\n", "no")
+			},
+			header.NotRun, header.TargetRefused, 1,
+		},
+		{
+			"a target that claims another outcome", "/ledger/pay",
+			func(_ int, conn net.Conn, _ *http.Request) bool {
+				return reply(conn, header.Outcome+": "+string(header.Unknown)+"\r\n", "no")
+			},
+			header.Ran, "", 1,
+		},
+		{
+			"a short answer that is cut off", "/ledger/pay",
+			func(_ int, conn net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
+				return false
+			},
+			header.Unknown, header.AnswerLost, 1,
+		},
+		{
+			"a chunked answer that is cut off", "/ledger/pay",
+			func(_ int, conn net.Conn, _ *http.Request) bool {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(part), part)
+				return false
+			},
+			header.Unknown, header.AnswerLost, 1,
+		},
+		{
+			"an answer after the deadline", "/ledger/pay",
+			func(n int, conn net.Conn, r *http.Request) bool {
+				time.Sleep(400 * time.Millisecond)
+				return answerID(n, conn, r)
+			},
+			header.Unknown, header.DeadlineExceeded, 1,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			target := newScripted(t, c.script)
+			r := newRig(t, target.addr())
+			a := r.send(http.MethodPost, c.path, []byte("body"), header.Timeout, "300ms")
+			if got := target.takenOf(a.id); a.outcome != c.outcome || a.code != c.code || got != c.taken {
+				t.Errorf("got %+v, taken %d times, want %s %s, taken %d times", a, got, c.outcome, c.code, c.taken)
+			}
+		})
+	}
+}
+
+// TestLargeAnswerCutOff guards against a part of a large answer that passes for
+// the whole, with either kind of framing.
+func TestLargeAnswerCutOff(t *testing.T) {
+	large := strings.Repeat("x", 3*maxHeldAnswer)
+	for _, framing := range []string{
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 2*len(large), large),
+		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(large), large),
+	} {
+		target := newScripted(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+framing)
+			return false
+		})
+		r := newRig(t, target.addr())
+		if a := r.send(http.MethodPost, "/ledger/pay", nil); a.broken == nil {
+			t.Errorf("%.30s: got a whole answer of %d bytes, want a broken one", framing, len(a.body))
+		}
+	}
+}
+
+// TestRefusedConnection guards against an unknown outcome, and an attempt that
+// stays claimed, when no byte left the node.
+func TestRefusedConnection(t *testing.T) {
+	r := newRig(t, freePort(t))
+	id, _ := mesh.NewRequestID()
+	for range 2 {
+		a := r.send(http.MethodPost, "/ledger/pay", nil, header.RequestID, id.String())
+		if a.outcome != header.NotRun {
+			t.Errorf("got %+v, want it refused as not run", a)
+		}
+	}
+}
+
+// TestResend guards against a second run of a request, and against a claim that
+// stays after the target said that it did not run it.
+func TestResend(t *testing.T) {
+	target := newScripted(t, func(n int, conn net.Conn, r *http.Request) bool {
+		if n == 1 {
+			return reply(conn, header.Outcome+": "+string(header.NotRun)+"\r\n", "no")
+		}
+		return answerID(n, conn, r)
+	})
+	r := newRig(t, target.addr())
+	id, _ := mesh.NewRequestID()
+	want := []header.OutcomeValue{header.NotRun, header.Ran, header.Unknown}
+	for i := range want {
+		if a := r.send(http.MethodPost, "/ledger/pay", nil, header.RequestID, id.String()); a.outcome != want[i] {
+			t.Errorf("sending %d: got %+v, want %s", i+1, a, want[i])
+		}
+	}
+	if got := target.takenOf(id.String()); got != 2 {
+		t.Errorf("got %d requests at the target, want 2", got)
+	}
+}
+
+// TestCrossedAnswers guards against the answer of one request that reaches
+// another: a target that answers a cancelled request late, and one that sends
+// two answers to a request.
+func TestCrossedAnswers(t *testing.T) {
+	for name, s := range map[string]script{
+		"late": func(n int, conn net.Conn, r *http.Request) bool {
+			if n%3 == 0 {
+				time.Sleep(60 * time.Millisecond)
+			}
+			return answerID(n, conn, r)
+		},
+		"twice": func(_ int, conn net.Conn, r *http.Request) bool {
+			body := r.Header.Get(header.RequestID)
+			one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			_, err := io.WriteString(conn, one+one)
+			return err == nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, newScripted(t, s).addr())
+			var group sync.WaitGroup
+			for range 16 {
+				group.Go(func() {
+					for range 40 {
+						a := r.send(http.MethodPost, "/ledger/pay", []byte("body"), header.Timeout, "50ms")
+						if a.outcome == header.Ran && a.body != a.id {
+							t.Errorf("got the answer of request %s, want that of %s", a.body, a.id)
+						}
+					}
+				})
+			}
+			group.Wait()
+		})
+	}
+}
+
+// TestDeeperCallAfterItsDelivery guards against work for a request that is
+// over.
+func TestDeeperCallAfterItsDelivery(t *testing.T) {
+	tokens := make(chan string, 1)
+	r := newRig(t, newScripted(t, func(n int, conn net.Conn, r *http.Request) bool {
+		tokens <- r.Header.Get(header.Call)
+		return answerID(n, conn, r)
+	}).addr())
+	if a := r.send(http.MethodPost, "/ledger/pay", nil); a.outcome != header.Ran {
+		t.Fatalf("got %+v, want it run", a)
+	}
+	request, _ := http.NewRequest(http.MethodGet, "http://"+r.settings.LocalListen.String()+"/ledger/read", nil)
+	request.Header.Set(header.Call, <-tokens)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if got := response.Header; got.Get(header.Outcome) != string(header.NotRun) || got.Get(header.Code) != string(header.CallEnded) {
+		t.Errorf("got %s %s, want not-run call-ended", got.Get(header.Outcome), got.Get(header.Code))
+	}
+}
+
+// TestAnswersOfNodes guards against trust in a node that answers without an
+// outcome, to another request, or with more retries than it was given.
+func TestAnswersOfNodes(t *testing.T) {
+	signer, err := wire.NewSigner(testSecret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	versions := &configDuty{}
+	versions.view.Store(&config.View{Version: 1})
+	other, _ := mesh.NewRequestID()
+	for _, c := range []struct {
+		name string
+		head func(id string) string
+		want header.OutcomeValue
+	}{
+		{"no outcome", func(id string) string { return header.RequestID + ": " + id + "\r\n" }, header.Unknown},
+		{"not run without a code", func(string) string { return header.Outcome + ": not-run\r\n" }, header.Unknown},
+		{"another request", func(string) string {
+			return header.Outcome + ": ran\r\n" + header.RequestID + ": " + other.String() + "\r\n"
+		}, header.Unknown},
+		{"refusal of another request", func(string) string {
+			return header.Outcome + ": not-run\r\n" + header.Code + ": overloaded\r\n" + header.RequestID + ": " + other.String() + "\r\n"
+		}, header.Unknown},
+		{"its own", func(id string) string {
+			return header.Outcome + ": ran\r\n" + header.RequestID + ": " + id + "\r\n"
+		}, header.Ran},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			call := newTestCall(time.Second)
+			far := newScripted(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+				return reply(conn, c.head(call.ID.String()), "answer")
+			})
+			carrier := &peerCarrier{transport: newTransport(0), signer: signer, config: versions}
+			answer, _, refusal := carrier.Carry(context.Background(), mesh.Endpoint{Host: far.addr()}, call, &mesh.Payload{Method: http.MethodPost, Path: "/pay", Header: http.Header{}})
+			got := header.Ran
+			if refusal != nil {
+				got = refusal.Outcome
+			}
+			if got != c.want {
+				t.Errorf("got %s (%v), want %s", got, refusal, c.want)
+			}
+			if answer != nil && answer.Level != mesh.ClassLow {
+				t.Errorf("got level %v from an answer without one, want %v", answer.Level, mesh.ClassLow)
+			}
+		})
+	}
+}
+
+// TestLatterOutcome guards against a request that may have run and is refused
+// as not run, because its last attempt was.
+func TestLatterOutcome(t *testing.T) {
+	lost := mesh.Unknown(header.AnswerLost, "lost")
+	busy := mesh.NotRun(header.Overloaded, "busy")
+	none := mesh.NotRun(header.NoTarget, "none")
+	for _, c := range []struct{ earlier, last, want *mesh.Refusal }{
+		{nil, busy, busy}, {lost, busy, lost}, {lost, none, lost}, {busy, none, busy}, {busy, lost, lost},
+	} {
+		if got := latter(c.earlier, c.last); !errors.Is(got, c.want) {
+			t.Errorf("%v then %v: got %v, want %v", c.earlier, c.last, got, c.want)
+		}
+	}
+}
+
+// lateClaimer changes the settings while a claim is recorded.
+type lateClaimer struct {
+	claimed  func()
+	released int
+}
+
+// Claim implements mesh.Claimer.
+func (l *lateClaimer) Claim(context.Context, *mesh.Call) (refusal *mesh.Refusal) {
+	l.claimed()
+	return nil
+}
+
+// Release implements mesh.Claimer.
+func (l *lateClaimer) Release(*mesh.Call) { l.released++ }
+
+// TestKeyWithdrawnWhileClaimed guards against a request that runs although its
+// key was withdrawn while its claim was recorded, and against a slot that its
+// release holds.
+func TestKeyWithdrawnWhileClaimed(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	target := newScripted(t, answerID)
+	signer, err := wire.NewSigner(testSecret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	vars := new(expvar.Map)
+	versions := &configDuty{}
+	set := func(key config.Key) {
+		fleet := tree.Fleet{KeyGrace: time.Hour}
+		versions.view.Store(&config.View{
+			Index: &tree.Index{Fleet: fleet}, Keys: map[mesh.KeyHash]config.Key{{}: key}, Confirmed: time.Now(),
+		})
+	}
+	set(config.Key{Organisation: "org"})
+	claimer := &lateClaimer{claimed: func() { set(config.Key{Organisation: "org", Withdrawn: true}) }}
+	f := &front{
+		config: versions, gate: newGateDuty(vars, quietLog()), calls: newCallsDuty(vars), claims: claimer,
+		targets: &targetClient{transport: newTransport(0), signer: signer},
+	}
+	go func() { _ = f.calls.Run(ctx) }()
+	_, _, refusal := f.deliver(ctx, target.addr(), admission{}, newTestCall(time.Second), &mesh.Payload{Method: http.MethodPost, Path: "/pay", Header: http.Header{}})
+	if refusal == nil || refusal.Outcome != header.NotRun || refusal.Code != header.KeyWithdrawn || target.total != 0 || claimer.released != 1 {
+		t.Errorf("got %v, taken %d times, released %d times, want it refused, not taken and released", refusal, target.total, claimer.released)
+	}
+}
--- /dev/null
+++ b/internal/mesh/node/relay_test.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/parse"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/roster"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// carrierFake answers the n-th call, counted from 0, over any link.
+type carrierFake struct {
+	calls  int
+	answer func(n int, call *mesh.Call) (left int, refusal *mesh.Refusal)
+}
+
+// Carry implements mesh.Carrier.
+func (c *carrierFake) Carry(_ context.Context, _ mesh.Endpoint, call *mesh.Call, _ *mesh.Payload) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
+	left, refusal = c.answer(c.calls, call)
+	c.calls++
+	return &mesh.Answer{Level: mesh.ClassLow}, left, refusal
+}
+
+// newRelay returns a front whose service has eight targets on other hosts.
+func newRelay(ctx context.Context, t *testing.T, carrier mesh.Carrier) (f *front) {
+	t.Helper()
+	settings, err := parse.Tree([]byte(testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	vars := new(expvar.Map)
+	versions := &configDuty{}
+	versions.view.Store(&config.View{Index: settings.Index("north"), Confirmed: time.Now()})
+	hosts := &rosterDuty{}
+	state := roster.New(mesh.Host{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Zone: "north"})
+	for i := range 8 {
+		addr := netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", i+2))
+		state.Step(time.Now(), roster.Merged{Hosts: []mesh.Host{{
+			Addr: addr, Zone: "north", Incarnation: 1, Targets: []mesh.Target{{Service: "ledger", Addr: addr, Slots: 1}},
+		}}})
+	}
+	hosts.view.Store(state.View())
+	f = &front{
+		settings: Settings{PeerListen: netip.MustParseAddrPort("127.0.0.1:1")},
+		config:   versions, calls: newCallsDuty(vars), route: newRouteDuty(vars, versions, hosts), carrier: carrier,
+	}
+	go func() { _ = f.calls.Run(ctx) }()
+	go func() { _ = f.route.Run(ctx) }()
+	return f
+}
+
+func (f *front) relayTest(ctx context.Context, route string, attempts int, timeout time.Duration) (left int, refusal *mesh.Refusal) {
+	call := newTestCall(timeout)
+	call.Organisation = ""
+	call.Route, _ = f.config.View().Index.Named("ledger", route, "")
+	call.Attempts = attempts
+	within, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	_, left, refusal = f.relay(within, call, &mesh.Payload{})
+	return left, refusal
+}
+
+// TestRelay guards against retries beyond the budget, against a repeat of a
+// non-idempotent request that may have run, and against a refusal as not run
+// after an attempt that may have run.
+func TestRelay(t *testing.T) {
+	lost := mesh.Unknown(header.AnswerLost, "lost")
+	busy := mesh.NotRun(header.Overloaded, "busy")
+	all := func(_ int, call *mesh.Call) (int, *mesh.Refusal) { return call.Attempts, busy }
+	first := func(n int, call *mesh.Call) (int, *mesh.Refusal) {
+		if n == 0 {
+			return 0, lost
+		}
+		return call.Attempts, busy
+	}
+	for _, c := range []struct {
+		name, route string
+		answer      func(n int, call *mesh.Call) (left int, refusal *mesh.Refusal)
+		attempts    int
+		calls       int
+		want        header.OutcomeValue
+	}{
+		{"refused by all", "pay", all, 3, 4, header.NotRun},
+		{"no budget", "pay", all, 0, 1, header.NotRun},
+		{"budget spent below", "pay", func(int, *mesh.Call) (int, *mesh.Refusal) { return 0, busy }, 3, 1, header.NotRun},
+		{"answer lost", "pay", first, 3, 1, header.Unknown},
+		{"answer lost, then refused", "read", first, 3, 2, header.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				carrier := &carrierFake{answer: c.answer}
+				_, refusal := newRelay(ctx, t, carrier).relayTest(ctx, c.route, c.attempts, time.Minute)
+				if refusal == nil || refusal.Outcome != c.want || carrier.calls != c.calls {
+					t.Errorf("got %v after %d calls, want %s after %d", refusal, carrier.calls, c.want, c.calls)
+				}
+			})
+		})
+	}
+}
+
+// TestRelayUnderOverload guards against retries that multiply the load when all
+// targets refuse, and against a retry after the deadline.
+func TestRelayUnderOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		carrier := &carrierFake{answer: func(_ int, call *mesh.Call) (int, *mesh.Refusal) {
+			if call.Remaining(time.Now()) <= 0 {
+				t.Error("got a call after its deadline, want none")
+			}
+			return call.Attempts, mesh.NotRun(header.Overloaded, "busy")
+		}}
+		f := newRelay(ctx, t, carrier)
+		const requests = 2000
+		for range requests {
+			if _, refusal := f.relayTest(ctx, "pay", 3, 4*time.Millisecond); refusal == nil {
+				t.Error("got an answer, want a refusal")
+			}
+		}
+		// Eight links, each with a small floor.
+		if most := requests*112/100 + 8*6; carrier.calls > most {
+			t.Errorf("got %d calls for %d requests, want at most %d", carrier.calls, requests, most)
+		}
+	})
+}
--- a/internal/mesh/node/serve.go
+++ b/internal/mesh/node/serve.go
@@ -47,34 +47,40 @@
 }
 
 // deliver sends an admitted call to the target and takes in its answer. The
-// gate learns how it ended.
+// gate learns how it ended before a claim is released, since the release waits
+// for the platform.
 func (f *front) deliver(ctx context.Context, target netip.AddrPort, admitted admission, call *mesh.Call, payload *mesh.Payload) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
-	notRun := func(refusal *mesh.Refusal) (*mesh.Answer, int, *mesh.Refusal) {
+	if refusal = f.stillValid(call); refusal == nil && !call.Route.Idempotent {
+		refusal = f.claims.Claim(ctx, call)
+	}
+	if refusal != nil {
 		f.gate.Leave(target, gate.Finished{Ticket: admitted.ticket, NotRun: true})
 		return nil, call.Attempts, refusal
 	}
-	if refusal := f.stillValid(call); refusal != nil {
-		return notRun(refusal)
+	answer, left, refusal = f.run(ctx, target, admitted, call, payload)
+	if refusal != nil && refusal.Outcome == header.NotRun {
+		f.release(call)
 	}
-	if !call.Route.Idempotent {
-		if refusal := f.claims.Claim(ctx, call); refusal != nil {
-			return notRun(refusal)
-		}
+	return answer, left, refusal
+}
+
+// run sends a claimed call to the target, unless it became invalid while it was
+// claimed.
+func (f *front) run(ctx context.Context, target netip.AddrPort, admitted admission, call *mesh.Call, payload *mesh.Payload) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
+	var token calls.Token
+	if refusal = f.stillValid(call); refusal == nil {
+		token, refusal = f.calls.Open(call)
 	}
-	token, refusal := f.calls.Open(call)
 	if refusal != nil {
-		f.release(call)
-		return notRun(refusal)
+		f.gate.Leave(target, gate.Finished{Ticket: admitted.ticket, NotRun: true})
+		return nil, call.Attempts, refusal
 	}
 	started := time.Now()
 	answer, refusal = f.targets.send(ctx, target, token, call, payload)
 	finished := gate.Finished{Ticket: admitted.ticket, Latency: time.Since(started)}
 	if refusal != nil {
-		finished.NotRun = refusal.Outcome == header.NotRun
 		finished.Overloaded = refusal.Code == header.TargetRefused
-		if refusal.Outcome == header.NotRun {
-			f.release(call)
-		}
+		finished.NotRun = refusal.Outcome == header.NotRun && !finished.Overloaded
 		f.gate.Leave(target, finished)
 		left, _ = f.calls.Close(token)
 		return nil, left, refusal
@@ -115,6 +121,7 @@
 	if refusal != nil {
 		return f.refusePeer(c, 0, refusal)
 	}
+	c.Response().Header().Set(header.RequestID, call.ID.String())
 	payload, refusal := readPayload(c.Response(), r, call.Route.MaxBody)
 	if refusal != nil {
 		return f.refusePeer(c, call.Attempts, refusal)
