--- a/internal/mesh/node/latency_test.go
+++ b/internal/mesh/node/latency_test.go
@@ -64,7 +64,6 @@
 		Zone: "luzon-a", CallerListen: freeAddr(tb), LocalListen: freeAddr(tb), PeerListen: freeAddr(tb),
 		Peers: peers, Secrets: []string{benchSecret},
 	}
-	s.PeerBind = s.PeerListen
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	n, err := New(s, append([]Option{WithPlatform(platform), WithLogger(logger)}, options...)...)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -61,6 +61,9 @@
 			err = merry.Prependf(err, "make the node of %s", s.PeerListen)
 		}
 	}()
+	if !s.PeerBind.IsValid() {
+		s.PeerBind = s.PeerListen
+	}
 	n = &Node{settings: s, logger: logrus.New(), platform: store.New(s.Platform), vars: new(expvar.Map)}
 	for _, o := range options {
 		o(n)
@@ -88,7 +91,7 @@
 	contract := newContractDuty(vars, versions, logs.For(n.logger, "contract"))
 	gates := newGateDuty(vars, versions, logs.For(n.logger, "gate"))
 	book := newCallsDuty(vars)
-	claims := newClaimDuty(vars, n.platform, logs.For(n.logger, "claim"))
+	claims := newClaimDuty(vars, platform, versions.claimKeep, logs.For(n.logger, "claim"))
 	routes := newRouteDuty(vars, versions, hosts)
 	meter := newMeterDuty(vars)
 	n.front = &front{
--- a/internal/mesh/node/settings.go
+++ b/internal/mesh/node/settings.go
@@ -63,9 +63,6 @@
 	if err := decoder.Decode(&s); err != nil {
 		return s, err
 	}
-	if !s.PeerBind.IsValid() {
-		s.PeerBind = s.PeerListen
-	}
 	if len(s.Secrets) == 0 {
 		s.Secrets = fallback
 	}
