admin, wire: no version counts as in force without a zone; tests of updates

A tree without zones made the report say that a version is in force in all zones. TestConfigSpread now checks that one change is fetched as a change; TestUpdateRefused sends broken messages.

--- a/internal/cmds/operator.go
+++ b/internal/cmds/operator.go
@@ -49,7 +49,7 @@
 	f.SetOutput(o.err)
 	o.platform = newAddrFlag(platformVariable)
 	f.Var(&o.platform, "platform", "address of the platform, such as 10.0.0.1:7000 ($"+platformVariable+")")
-	f.StringVar(&o.by, "by", cmp.Or(os.Getenv(operatorVariable), os.Getenv("USER")), "name of the operator, for the history ($"+operatorVariable+")")
+	f.StringVar(&o.by, "by", cmp.Or(os.Getenv(operatorVariable), os.Getenv("USER"), "unknown"), "name of the operator, for the history ($"+operatorVariable+")")
 }
 
 // open returns a client of the platform and the arguments of the command.
--- a/internal/mesh/admin/admin_test.go
+++ b/internal/mesh/admin/admin_test.go
@@ -141,6 +141,9 @@
 	if len(p.Zones) != len(want) || !p.Pending() {
 		t.Errorf("got %+v, want %d zones, some pending", p, len(want))
 	}
+	if !NewProgress(5, nil, nil).Pending() {
+		t.Error("no zones: got in force, want pending")
+	}
 }
 
 // TestAwait guards against a wait without end and against one that ends
--- a/internal/mesh/admin/zones.go
+++ b/internal/mesh/admin/zones.go
@@ -96,9 +96,10 @@
 	InForce bool
 }
 
-// Pending reports whether the version is not in force in some zone.
+// Pending reports whether the version is not in force in some zone. Without any
+// zone, nothing is known to be in force.
 func (p Progress) Pending() (pending bool) {
-	return slices.ContainsFunc(p.Zones, func(z ZoneProgress) bool { return !z.InForce })
+	return len(p.Zones) == 0 || slices.ContainsFunc(p.Zones, func(z ZoneProgress) bool { return !z.InForce })
 }
 
 // NewProgress compares the reports of zones with a version. A zone of the tree
@@ -125,13 +126,20 @@
 // not tell; the progress is then the last one seen.
 func Await(ctx context.Context, p mesh.Platform, version uint64, wait time.Duration) (progress Progress, err error) {
 	until := time.Now().Add(wait)
+	progress.Version = version
+	var zones []mesh.ZoneName
 	for {
-		next, err := ReadProgress(ctx, p, version)
-		if err == nil {
-			progress = next
+		if zones == nil {
+			zones, err = zoneNames(ctx, p)
+		}
+		if zones != nil {
+			var reports map[mesh.ZoneName]ZoneReport
+			if reports, err = Zones(ctx, p); err == nil {
+				progress = NewProgress(version, zones, reports)
+			}
 		}
-		if err == nil && !progress.Pending() || !time.Now().Add(awaitInterval).Before(until) || !pause(ctx, awaitInterval) {
-			progress.Version = version
+		done := err == nil && !progress.Pending()
+		if done || !time.Now().Add(awaitInterval).Before(until) || !pause(ctx, awaitInterval) {
 			return progress, err
 		}
 	}
@@ -139,21 +147,28 @@
 
 // ReadProgress returns how far a version has come.
 func ReadProgress(ctx context.Context, p mesh.Platform, version uint64) (progress Progress, err error) {
-	reports, err := Zones(ctx, p)
+	zones, err := zoneNames(ctx, p)
 	if err != nil {
 		return progress, err
 	}
+	reports, err := Zones(ctx, p)
+	return NewProgress(version, zones, reports), err
+}
+
+// zoneNames returns the zones in the newest settings tree, never nil without
+// an error.
+func zoneNames(ctx context.Context, p mesh.Platform) (zones []mesh.ZoneName, err error) {
 	_, snapshot, err := Current(ctx, p)
 	if err != nil {
-		return progress, err
+		return nil, err
 	}
 	t, err := parse.Tree(snapshot.Text)
 	if err != nil {
-		return progress, err
+		return nil, err
 	}
-	var zones []mesh.ZoneName
+	zones = []mesh.ZoneName{}
 	for name := range t.Zones {
 		zones = append(zones, name)
 	}
-	return NewProgress(version, zones, reports), nil
+	return zones, nil
 }
--- a/internal/mesh/node/config_test.go
+++ b/internal/mesh/node/config_test.go
@@ -103,7 +103,7 @@
 }
 
 // TestConfigSpread guards against a version that does not reach all hosts, a
-// node that goes back to an older version when it restarts in an outage, and
+// node that fetches the whole snapshot for one change, a node that goes back to an older version when it restarts in an outage, and
 // reports of zones that do not follow.
 func TestConfigSpread(t *testing.T) {
 	t.Parallel()
@@ -146,6 +146,13 @@
 		t.Errorf("zone a: got %+v, want 3 hosts", got)
 	}
 
+	for i, h := range hosts {
+		changes := h.node.front.config.held.Load().changes
+		if len(changes) != 1 || changes[0].GetVersion() != 2 {
+			t.Errorf("host %d: got %d changes, want version 2 as a change", i, len(changes))
+		}
+	}
+
 	s.SetFaults(stub.Faults{Down: true})
 	hosts[1].end()
 	hosts[1].start()
--- /dev/null
+++ b/internal/mesh/wire/update_test.go
@@ -0,0 +1,49 @@
+package wire
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
+)
+
+// TestUpdateRefused guards against a node that fails on a broken message, or
+// that puts a version in force which it did not fully receive.
+func TestUpdateRefused(t *testing.T) {
+	base := &config.Snapshot{Version: 1, Text: []byte("zones: {a: {region: r}}")}
+	next := &config.Snapshot{Version: 2, Text: []byte("zones: {b: {region: r}}"), Keys: map[mesh.KeyHash]config.Key{{}: {Organisation: "o"}}}
+	change := FromChange(config.Diff(base, next))
+	if got, err := Follow(base, []*Change{change}); err != nil || got.Tree == nil || len(got.Keys) != 1 {
+		t.Fatalf("good change: got %+v and %v, want a parsed version", got, err)
+	}
+	packed, err := Pack(FromSnapshot(next))
+	if err != nil {
+		t.Fatal(err)
+	}
+	unpack := func(data []byte) error {
+		_, err := Unpack(data)
+		return err
+	}
+	follow := func(base *config.Snapshot, changes ...*Change) error {
+		_, err := Follow(base, changes)
+		return err
+	}
+	for _, c := range []struct {
+		name string
+		got  error
+		want error
+	}{
+		{"snapshot cut off", unpack(packed[:len(packed)-9]), nil},
+		{"no snapshot", unpack([]byte("x")), nil},
+		{"change without a base", follow(nil, change), config.ErrMismatch},
+		{"change of a later version", follow(base, &Change{Version: 3}), config.ErrMismatch},
+		{"edit beyond the text", follow(base, &Change{Version: 2, Tree: &TreeEdit{KeepStart: 99, Sum: change.GetTree().GetSum()}}), config.ErrMismatch},
+		{"short hash of a key", follow(base, &Change{Version: 2, Keys: []*Key{{Hash: []byte("x")}}}), ErrMalformed},
+		{"short sum", follow(base, &Change{Version: 2, Tree: &TreeEdit{}}), ErrMalformed},
+	} {
+		if c.got == nil || c.want != nil && !errors.Is(c.got, c.want) {
+			t.Errorf("%s: got %v, want an error (%v)", c.name, c.got, c.want)
+		}
+	}
+}
