admin: leave out zones that were removed from the tree

A zone that operators removed kept its last report, so every later change would have stayed pending. It is left out once its report is older than key-grace, after which hosts that still run there without contact refuse keyed requests.

--- a/internal/mesh/admin/admin_test.go
+++ b/internal/mesh/admin/admin_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -10,6 +12,7 @@
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/tree"
 )
 
 // overtaken loses the answer of one commit and lets another operator make the
@@ -146,6 +149,22 @@
 	}
 }
 
+// TestRemovedZones guards against a zone that is pending for ever after it was
+// removed, and against one that is left out while it may accept keys.
+func TestRemovedZones(t *testing.T) {
+	now := time.Now()
+	x := (&tree.Tree{Zones: map[mesh.ZoneName]tree.Zone{"a": {}}}).Index("")
+	reports := map[mesh.ZoneName]ZoneReport{
+		"a": {At: now.Add(-time.Hour)},
+		"b": {At: now.Add(-time.Hour)},
+		"c": {At: now.Add(-14 * time.Minute)},
+	}
+	dropRemoved(now, reports, x)
+	if got := slices.Sorted(maps.Keys(reports)); !slices.Equal(got, []mesh.ZoneName{"a", "c"}) {
+		t.Errorf("got %v, want a, which is in the tree, and c, within the grace", got)
+	}
+}
+
 // TestAwait guards against a wait without end and against one that ends
 // before the version is in force.
 func TestAwait(t *testing.T) {
--- a/internal/mesh/admin/zones.go
+++ b/internal/mesh/admin/zones.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/parse"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/tree"
 )
 
 const (
@@ -127,15 +129,15 @@
 func Await(ctx context.Context, p mesh.Platform, version uint64, wait time.Duration) (progress Progress, err error) {
 	until := time.Now().Add(wait)
 	progress.Version = version
-	var zones []mesh.ZoneName
+	var x *tree.Index
 	for {
-		if zones == nil {
-			zones, err = zoneNames(ctx, p)
+		if x == nil {
+			x, err = newestIndex(ctx, p)
 		}
-		if zones != nil {
-			var reports map[mesh.ZoneName]ZoneReport
-			if reports, err = Zones(ctx, p); err == nil {
-				progress = NewProgress(version, zones, reports)
+		if x != nil {
+			var next Progress
+			if next, err = readProgress(ctx, p, version, x); err == nil {
+				progress = next
 			}
 		}
 		done := err == nil && !progress.Pending()
@@ -147,17 +149,36 @@
 
 // ReadProgress returns how far a version has come.
 func ReadProgress(ctx context.Context, p mesh.Platform, version uint64) (progress Progress, err error) {
-	zones, err := zoneNames(ctx, p)
+	x, err := newestIndex(ctx, p)
 	if err != nil {
 		return progress, err
 	}
+	return readProgress(ctx, p, version, x)
+}
+
+func readProgress(ctx context.Context, p mesh.Platform, version uint64, x *tree.Index) (progress Progress, err error) {
 	reports, err := Zones(ctx, p)
-	return NewProgress(version, zones, reports), err
+	if err != nil {
+		return progress, err
+	}
+	dropRemoved(time.Now(), reports, x)
+	return NewProgress(version, slices.Collect(maps.Keys(x.Zones)), reports), nil
 }
 
-// zoneNames returns the zones in the newest settings tree, never nil without
-// an error.
-func zoneNames(ctx context.Context, p mesh.Platform) (zones []mesh.ZoneName, err error) {
+// dropRemoved leaves out zones that are no longer in the tree and have not
+// reported for longer than key-grace. Hosts that may still run there without
+// contact refuse keyed requests by then.
+func dropRemoved(now time.Time, reports map[mesh.ZoneName]ZoneReport, x *tree.Index) {
+	for name, r := range reports {
+		if _, found := x.Zones[name]; !found && now.Sub(r.At) > x.Fleet.KeyGrace {
+			delete(reports, name)
+		}
+	}
+}
+
+// newestIndex returns the newest settings tree as no zone in particular sees
+// it.
+func newestIndex(ctx context.Context, p mesh.Platform) (x *tree.Index, err error) {
 	_, snapshot, err := Current(ctx, p)
 	if err != nil {
 		return nil, err
@@ -166,9 +187,5 @@
 	if err != nil {
 		return nil, err
 	}
-	zones = []mesh.ZoneName{}
-	for name := range t.Zones {
-		zones = append(zones, name)
-	}
-	return zones, nil
+	return t.Index(""), nil
 }
