admin: one order of events per seed in the operators' model test

Random times in whole milliseconds let events of several operators fall on the same instant, whose order is left to the scheduler; the counts of results differed from run to run.

--- a/internal/mesh/admin/history_test.go
+++ b/internal/mesh/admin/history_test.go
@@ -21,6 +21,12 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
 )
 
+// upTo returns a random time below most. In whole nanoseconds, two events hardly
+// ever fall on the same instant, so that a seed leads to one order of events.
+func upTo(random *rand.Rand, most time.Duration) (d time.Duration) {
+	return time.Duration(random.Int64N(int64(most)))
+}
+
 // distant is a platform that takes a while to reach. It gives up on requests
 // that take longer than the platform's client would wait.
 type distant struct {
@@ -29,7 +35,7 @@
 }
 
 func (p distant) travel(ctx context.Context) (limited context.Context, cancel context.CancelFunc) {
-	time.Sleep(time.Duration(p.random.IntN(300)) * time.Millisecond)
+	time.Sleep(upTo(p.random, 300*time.Millisecond))
 	return context.WithTimeout(ctx, 2*time.Second)
 }
 
@@ -213,7 +219,7 @@
 // work makes changes that often stand in each other's way.
 func (d *desk) work(ctx context.Context, count int) {
 	for range count {
-		time.Sleep(time.Duration(d.random.IntN(3000)) * time.Millisecond)
+		time.Sleep(upTo(d.random, 3000*time.Millisecond))
 		key := keyNames[d.random.IntN(len(keyNames))]
 		switch d.random.IntN(4) {
 		case 0:
@@ -221,7 +227,7 @@
 			if err != nil {
 				continue
 			}
-			time.Sleep(time.Duration(d.random.IntN(1000)) * time.Millisecond)
+			time.Sleep(upTo(d.random, 1000*time.Millisecond))
 			d.do(ctx, input{op: "put", base: head.Version, text: string(treeText(d.random.IntN(1000)))})
 		case 1:
 			d.do(ctx, input{op: "give", key: key})
@@ -240,19 +246,19 @@
 // trouble switches faults on and off until ctx ends.
 func trouble(ctx context.Context, s *stub.Stub, random *rand.Rand) {
 	for ctx.Err() == nil {
-		f := stub.Faults{LateBy: time.Duration(random.IntN(15000)) * time.Millisecond, Every: 1 + random.IntN(4)}
+		f := stub.Faults{LateBy: upTo(random, 15000*time.Millisecond), Every: 1 + random.IntN(4)}
 		switch random.IntN(7) {
 		case 0, 5:
 			f.Down = true
 		case 1:
-			f.Delay = time.Duration(random.IntN(4000)) * time.Millisecond
+			f.Delay = upTo(random, 4000*time.Millisecond)
 		case 2, 3:
 			f.LoseAnswers = 1 + random.IntN(20)
 		case 4:
 			f.LateWrites = 1 + random.IntN(20)
 		}
 		s.SetFaults(f)
-		pause(ctx, time.Duration(random.IntN(longestTrouble))*time.Millisecond)
+		pause(ctx, upTo(random, longestTrouble*time.Millisecond))
 	}
 }
 
