--- a/internal/mesh/admin/history_test.go
+++ b/internal/mesh/admin/history_test.go
@@ -239,26 +239,32 @@
 	}
 }
 
-// longestTrouble is how long one kind of fault lasts at most, in milliseconds.
-// It is above the time that a change waits for the platform.
-const longestTrouble = 25_000
-
-// trouble switches faults on and off until ctx ends.
+// trouble switches faults on and off until ctx ends. Half of the times in which
+// answers are lost end in an outage that is longer than a change waits for the
+// platform, so that some operators are left without an answer for good.
 func trouble(ctx context.Context, s *stub.Stub, random *rand.Rand) {
 	for ctx.Err() == nil {
-		f := stub.Faults{LateBy: upTo(random, 15000*time.Millisecond), Every: 1 + random.IntN(4)}
-		switch random.IntN(7) {
-		case 0, 5:
+		f := stub.Faults{LateBy: upTo(random, 15*time.Second), Every: 1 + random.IntN(4)}
+		last := upTo(random, 15*time.Second)
+		outage := false
+		switch random.IntN(6) {
+		case 0:
 			f.Down = true
 		case 1:
-			f.Delay = upTo(random, 4000*time.Millisecond)
+			f.Delay = upTo(random, 4*time.Second)
 		case 2, 3:
 			f.LoseAnswers = 1 + random.IntN(20)
+			last, outage = last/5, random.IntN(2) == 0
 		case 4:
 			f.LateWrites = 1 + random.IntN(20)
+			last, outage = last/5, random.IntN(2) == 0
 		}
 		s.SetFaults(f)
-		pause(ctx, upTo(random, longestTrouble*time.Millisecond))
+		pause(ctx, last)
+		if outage {
+			s.SetFaults(stub.Faults{Down: true})
+			pause(ctx, 15*time.Second+upTo(random, 5*time.Second))
+		}
 	}
 }
 
