--- a/internal/mesh/admin/zones.go
+++ b/internal/mesh/admin/zones.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/parse"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/tree"
 )
 
 const (
@@ -96,9 +98,10 @@
 	InForce bool
 }
 
-// Pending reports whether the version is not in force in some zone.
+// Pending reports whether the version is not in force in some zone. Without any
+// zone, nothing is known to be in force.
 func (p Progress) Pending() (pending bool) {
-	return slices.ContainsFunc(p.Zones, func(z ZoneProgress) bool { return !z.InForce })
+	return len(p.Zones) == 0 || slices.ContainsFunc(p.Zones, func(z ZoneProgress) bool { return !z.InForce })
 }
 
 // NewProgress compares the reports of zones with a version. A zone of the tree
@@ -125,13 +128,20 @@
 // not tell; the progress is then the last one seen.
 func Await(ctx context.Context, p mesh.Platform, version uint64, wait time.Duration) (progress Progress, err error) {
 	until := time.Now().Add(wait)
+	progress.Version = version
+	var x *tree.Index
 	for {
-		next, err := ReadProgress(ctx, p, version)
-		if err == nil {
-			progress = next
+		if x == nil {
+			x, err = newestIndex(ctx, p)
 		}
-		if err == nil && !progress.Pending() || !time.Now().Add(awaitInterval).Before(until) || !pause(ctx, awaitInterval) {
-			progress.Version = version
+		if x != nil {
+			var next Progress
+			if next, err = readProgress(ctx, p, version, x); err == nil {
+				progress = next
+			}
+		}
+		done := err == nil && !progress.Pending()
+		if done || !time.Now().Add(awaitInterval).Before(until) || !pause(ctx, awaitInterval) {
 			return progress, err
 		}
 	}
@@ -139,21 +149,43 @@
 
 // ReadProgress returns how far a version has come.
 func ReadProgress(ctx context.Context, p mesh.Platform, version uint64) (progress Progress, err error) {
+	x, err := newestIndex(ctx, p)
+	if err != nil {
+		return progress, err
+	}
+	return readProgress(ctx, p, version, x)
+}
+
+func readProgress(ctx context.Context, p mesh.Platform, version uint64, x *tree.Index) (progress Progress, err error) {
 	reports, err := Zones(ctx, p)
 	if err != nil {
 		return progress, err
 	}
+	dropRemoved(time.Now(), reports, x)
+	return NewProgress(version, slices.Collect(maps.Keys(x.Zones)), reports), nil
+}
+
+// dropRemoved leaves out zones that are no longer in the tree and have not
+// reported for longer than key-grace. Hosts that may still run there without
+// contact refuse keyed requests by then.
+func dropRemoved(now time.Time, reports map[mesh.ZoneName]ZoneReport, x *tree.Index) {
+	for name, r := range reports {
+		if _, found := x.Zones[name]; !found && now.Sub(r.At) > x.Fleet.KeyGrace {
+			delete(reports, name)
+		}
+	}
+}
+
+// newestIndex returns the newest settings tree as no zone in particular sees
+// it.
+func newestIndex(ctx context.Context, p mesh.Platform) (x *tree.Index, err error) {
 	_, snapshot, err := Current(ctx, p)
 	if err != nil {
-		return progress, err
+		return nil, err
 	}
 	t, err := parse.Tree(snapshot.Text)
 	if err != nil {
-		return progress, err
-	}
-	var zones []mesh.ZoneName
-	for name := range t.Zones {
-		zones = append(zones, name)
+		return nil, err
 	}
-	return NewProgress(version, zones, reports), nil
+	return t.Index(""), nil
 }
