--- a/internal/mesh/node/contract.go
+++ b/internal/mesh/node/contract.go
@@ -3,97 +3,177 @@
 import (
 	"context"
 	"expvar"
+	"net/http"
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/roster"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/share"
-	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
-const contractRing = 1024
+const (
+	contractRing = 1024
+
+	// placesInterval bounds how often the holders are worked out anew while
+	// the roster changes, since that looks at every host.
+	placesInterval = time.Second
+
+	// configInterval is how often the duty looks for new settings and hosts
+	// while no request brings it to do so.
+	configInterval = time.Second
+)
 
 // contractDuty owns this node's shares of all contracts. Full ring: the
-// request is refused.
+// request is refused, a message of a peer is dropped and repeated by its
+// sender.
 type contractDuty struct {
-	ledger *share.Ledger
-	events *ring.Ring
-	config *configDuty
-	log    logs.Log
+	zone     mesh.ZoneName
+	ledger   *share.Ledger
+	events   *ring.Ring
+	config   *configDuty
+	roster   *rosterDuty
+	platform *platformDuty
+	senders  senders
+	client   *http.Client
+	log      logs.Log
 
-	// version is the settings version that the ledger follows.
-	version uint64
-}
+	// view and hosts are what the ledger follows, and placedAt is when it
+	// was last told of hosts.
+	view     *config.View
+	hosts    *roster.View
+	placedAt time.Time
 
-func newContractDuty(vars *expvar.Map, config *configDuty, log logs.Log) (d *contractDuty) {
-	return &contractDuty{ledger: share.New(), events: ring.New(vars, "contract", contractRing), config: config, log: log}
-}
+	// waiting holds the reply rings of requests that wait, by ticket.
+	waiting map[uint64]ring.Reply
+	ticket  uint64
 
-// Name implements mesh.Duty.
-func (d *contractDuty) Name() string { return "contract" }
+	// posted numbers messages, so that none replaces another in a sender.
+	posted uint64
 
-// admitRequest asks for one token of an organisation.
-type admitRequest struct {
-	organisation mesh.OrganisationName
-	deadline     time.Time
-	reply        ring.Reply
-}
-
-// EventName implements mesh.Event.
-func (admitRequest) EventName() string { return "admit-request" }
-
-// admitAnswer grants a token or refuses.
-type admitAnswer struct{ refusal *mesh.Refusal }
+	// left is answered once all shares were handed on, when leaving.
+	left    ring.Reply
+	leaving bool
 
-// EventName implements mesh.Event.
-func (admitAnswer) EventName() string { return "admit-answer" }
+	refused, sent *expvar.Int
+	pending       *expvar.Map
+}
 
-// Admit takes one token of the organisation, or returns why not.
-func (d *contractDuty) Admit(ctx context.Context, organisation mesh.OrganisationName, deadline time.Time) (refusal *mesh.Refusal) {
-	reply := ring.NewReply()
-	if !d.events.Offer(admitRequest{organisation: organisation, deadline: deadline, reply: reply}) {
-		return mesh.NotRun(header.NodeBusy, "the node has no room to check the contract")
-	}
-	select {
-	case e := <-reply.Events():
-		return e.(admitAnswer).refusal
-	case <-ctx.Done():
-		return mesh.NotRun(header.DeadlineExceeded, "the deadline passed while the contract was checked")
+func newContractDuty(vars *expvar.Map, s Settings, config *configDuty, log logs.Log) (d *contractDuty) {
+	self := share.Holder{Addr: s.PeerListen, Life: mesh.NewIncarnation(time.Now())}
+	d = &contractDuty{
+		zone:    s.Zone,
+		ledger:  share.New(self),
+		events:  ring.New(vars, "contract", contractRing),
+		config:  config,
+		log:     log,
+		waiting: make(map[uint64]ring.Reply),
+		refused: new(expvar.Int),
+		sent:    new(expvar.Int),
+		pending: new(expvar.Map).Init(),
 	}
+	vars.Set("contract-rate-refusals", d.refused)
+	vars.Set("contract-messages", d.sent)
+	vars.Set("contract-pending", d.pending)
+	return d
 }
 
+// Name implements mesh.Duty.
+func (d *contractDuty) Name() string { return "contract" }
+
 // Run implements mesh.Duty.
 func (d *contractDuty) Run(ctx context.Context) (err error) {
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	follow := time.NewTicker(configInterval)
+	defer follow.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case e := <-d.events.Events():
-			if e, isAdmit := e.(admitRequest); isAdmit {
-				d.admit(time.Now(), e)
-			}
+			d.handle(time.Now(), e)
+		case <-wake.C:
+			d.perform(d.ledger.Step(time.Now(), share.Woken{}))
+		case <-follow.C:
+			d.follow(time.Now())
+			d.showPending()
 		}
+		d.setWake(wake)
 	}
 }
 
-func (d *contractDuty) admit(now time.Time, e admitRequest) {
-	d.follow(now)
-	if d.ledger.Admit(now, e.organisation) {
-		e.reply.Answer(admitAnswer{})
+// setWake makes the timer fire when the ledger next needs it.
+func (d *contractDuty) setWake(wake *time.Timer) {
+	at := d.ledger.Wake()
+	if at.IsZero() {
+		wake.Stop()
 		return
 	}
-	e.reply.Answer(admitAnswer{refusal: mesh.NotRun(header.RateExceeded, "organisation %q is above its rate and burst", e.organisation)})
+	wake.Reset(time.Until(at))
 }
 
-// follow brings the ledger to the settings in force.
+func (d *contractDuty) handle(now time.Time, e mesh.Event) {
+	switch e := e.(type) {
+	case admitRequest:
+		d.admit(now, e)
+	case deliverRequest:
+		d.deliver(now, e)
+	case leaveRequest:
+		d.leave(now, e)
+	default:
+		d.perform(d.ledger.Step(now, e))
+	}
+	d.checkLeft()
+}
+
+// perform does what the ledger decided.
+func (d *contractDuty) perform(actions []share.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case share.Send:
+			d.post(a)
+		case share.Decide:
+			d.decide(a)
+		case share.Issue:
+			d.issue(a)
+		}
+	}
+}
+
+// follow brings the ledger to the settings and hosts in force.
 func (d *contractDuty) follow(now time.Time) {
+	if hosts := d.roster.View(); hosts != d.hosts && now.Sub(d.placedAt) >= placesInterval {
+		d.hosts, d.placedAt = hosts, now
+		d.ledger.SetPlaces(share.NewPlaces(d.ledger.Self().Addr, d.zone, hosts.Hosts))
+	}
 	v := d.config.View()
-	if v == nil || v.Version == d.version {
+	if v == nil || d.view != nil && v.Version == d.view.Version {
 		return
 	}
-	d.version = v.Version
-	for name, c := range v.Index.Contracts {
-		d.ledger.Set(now, name, c.Rate, c.Burst)
+	d.view = v
+	d.perform(d.ledger.Step(now, share.Configured{
+		Contracts: v.Index.Contracts, Zones: len(v.Index.Zones), Lease: v.Index.Fleet.ShareLease,
+	}))
+}
+
+// showPending publishes the part of each lowered contract that is not yet in
+// force.
+func (d *contractDuty) showPending() {
+	for _, name := range d.ledger.Organisations() {
+		p := d.ledger.Pending(name)
+		if p.Rate <= 0 && p.Capacity <= 0 {
+			d.pending.Delete(string(name))
+			continue
+		}
+		rate, burst := new(expvar.Float), new(expvar.Float)
+		rate.Set(p.Rate.Requests())
+		burst.Set(p.Capacity.Requests())
+		row := new(expvar.Map).Init()
+		row.Set("rate", rate)
+		row.Set("burst", burst)
+		d.pending.Set(string(name), row)
 	}
 }
--- /dev/null
+++ b/internal/mesh/node/contract_admit.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/share"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// admitRequest asks for one token of an organisation.
+type admitRequest struct {
+	organisation mesh.OrganisationName
+	deadline     time.Time
+	reply        ring.Reply
+}
+
+// EventName implements mesh.Event.
+func (admitRequest) EventName() string { return "admit-request" }
+
+// admitAnswer grants a token or refuses.
+type admitAnswer struct{ refusal *mesh.Refusal }
+
+// EventName implements mesh.Event.
+func (admitAnswer) EventName() string { return "admit-answer" }
+
+// Admit takes one token of the organisation, or returns why not.
+func (d *contractDuty) Admit(ctx context.Context, organisation mesh.OrganisationName, deadline time.Time) (refusal *mesh.Refusal) {
+	reply := ring.NewReply()
+	if !d.events.Offer(admitRequest{organisation: organisation, deadline: deadline, reply: reply}) {
+		return mesh.NotRun(header.NodeBusy, "the node has no room to check the contract")
+	}
+	select {
+	case e := <-reply.Events():
+		return e.(admitAnswer).refusal
+	case <-ctx.Done():
+		return mesh.NotRun(header.DeadlineExceeded, "the deadline passed while the contract was checked")
+	}
+}
+
+func (d *contractDuty) admit(now time.Time, e admitRequest) {
+	d.follow(now)
+	d.ticket++
+	verdict, actions := d.ledger.Admit(now, e.organisation, e.deadline, d.ticket)
+	switch verdict {
+	case share.Admitted:
+		e.reply.Answer(admitAnswer{})
+	case share.Waits:
+		d.waiting[d.ticket] = e.reply
+	default:
+		d.refuse(e.reply)
+	}
+	d.perform(actions)
+}
+
+func (d *contractDuty) decide(a share.Decide) {
+	reply, found := d.waiting[a.Ticket]
+	if !found {
+		return
+	}
+	delete(d.waiting, a.Ticket)
+	if a.Admitted {
+		reply.Answer(admitAnswer{})
+		return
+	}
+	d.refuse(reply)
+}
+
+func (d *contractDuty) refuse(reply ring.Reply) {
+	d.refused.Add(1)
+	reply.Answer(admitAnswer{refusal: mesh.NotRun(header.RateExceeded, "the organisation is above its rate and burst, or the rest of its contract is out of reach")})
+}
--- /dev/null
+++ b/internal/mesh/node/contract_peer.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/share"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
+)
+
+// shareTimeout bounds one message about shares. It is short, since a peer that
+// does not answer holds up the messages of its sender to others.
+const shareTimeout = 300 * time.Millisecond
+
+// errBusy means that a message found no room in the ring.
+var errBusy = errors.New("the node has no room for the message")
+
+// deliverRequest brings a message of a peer, which waits for the answer.
+type deliverRequest struct {
+	delivered share.Delivered
+	reply     ring.Reply
+}
+
+// EventName implements mesh.Event.
+func (deliverRequest) EventName() string { return "deliver-request" }
+
+// deliverAnswer is what there is to say to the peer.
+type deliverAnswer struct{ batch share.Batch }
+
+// EventName implements mesh.Event.
+func (deliverAnswer) EventName() string { return "deliver-answer" }
+
+// Deliver implements wire.Shares.
+func (d *contractDuty) Deliver(ctx context.Context, m *wire.ShareBatch) (answer *wire.ShareBatch, err error) {
+	from, batch, err := wire.ToBatch(m)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("batch", err.Error())
+	}
+	reply := ring.NewReply()
+	e := deliverRequest{delivered: share.Delivered{From: from, Batch: batch}, reply: reply}
+	if !d.events.Offer(e) {
+		return nil, twirp.NewError(twirp.ResourceExhausted, errBusy.Error())
+	}
+	select {
+	case e := <-reply.Events():
+		return wire.FromBatch(d.ledger.Self().Addr, e.(deliverAnswer).batch), nil
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// deliver hands a message to the ledger. What that says to the sender is the
+// answer; the rest goes out as messages.
+func (d *contractDuty) deliver(now time.Time, e deliverRequest) {
+	d.follow(now)
+	self := d.ledger.Self()
+	answer := deliverAnswer{batch: share.Batch{Life: self.Life, Sent: now}}
+	var rest []share.Action
+	for _, a := range d.ledger.Step(now, e.delivered) {
+		if s, isSend := a.(share.Send); isSend && s.To == e.delivered.From {
+			answer.batch = s.Batch
+			continue
+		}
+		rest = append(rest, a)
+	}
+	e.reply.Answer(answer)
+	d.perform(rest)
+}
+
+func (d *contractDuty) post(s share.Send) {
+	d.posted++
+	d.sent.Add(1)
+	d.senders.PostKeyed(strconv.FormatUint(d.posted, 10), deliverShares{duty: d, to: s.To, batch: s.Batch})
+}
+
+// deliverShares brings a batch to a peer.
+type deliverShares struct {
+	duty  *contractDuty
+	to    netip.AddrPort
+	batch share.Batch
+}
+
+// EventName implements mesh.Event.
+func (deliverShares) EventName() string { return "deliver-shares" }
+
+// To implements mesh.Message.
+func (m deliverShares) To() (addr netip.AddrPort) { return m.to }
+
+// Send implements mesh.Message.
+func (m deliverShares) Send(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			m.duty.events.Offer(share.Unreachable{To: m.to})
+			err = fmt.Errorf("deliver shares: %w", err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	peer := wire.NewSharesProtobufClient(peerURL(m.to), m.duty.client)
+	answer, err := peer.Deliver(ctx, wire.FromBatch(m.duty.ledger.Self().Addr, m.batch))
+	if err != nil {
+		return err
+	}
+	from, batch, err := wire.ToBatch(answer)
+	if err != nil {
+		return err
+	}
+	if from != m.to {
+		return fmt.Errorf("the answer is from %s", from)
+	}
+	m.duty.events.Offer(share.Delivered{From: from, Batch: batch, Reply: true})
+	return nil
+}
+
+// leaveRequest hands all shares on.
+type leaveRequest struct{ reply ring.Reply }
+
+// EventName implements mesh.Event.
+func (leaveRequest) EventName() string { return "leave-request" }
+
+// leaveAnswer says that all shares were handed on.
+type leaveAnswer struct{}
+
+// EventName implements mesh.Event.
+func (leaveAnswer) EventName() string { return "leave-answer" }
+
+// HandOver gives all shares of this node to others and waits until they have
+// them. Shares that nobody took in time return when their lease ends.
+func (d *contractDuty) HandOver(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("hand shares over: %w", err)
+		}
+	}()
+	reply := ring.NewReply()
+	if err := d.events.Send(ctx, leaveRequest{reply: reply}); err != nil {
+		return err
+	}
+	select {
+	case <-reply.Events():
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (d *contractDuty) leave(now time.Time, e leaveRequest) {
+	d.leaving, d.left = true, e.reply
+	d.perform(d.ledger.Step(now, share.Leave{}))
+}
+
+// checkLeft answers the leave request once nothing is on its way.
+func (d *contractDuty) checkLeft() {
+	if d.leaving && d.ledger.Left() {
+		d.left.Answer(leaveAnswer{})
+	}
+}
+
+var _ mesh.Message = deliverShares{}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -30,6 +30,10 @@
 
 	// headerTimeout bounds how long a client may take to send its headers.
 	headerTimeout = 10 * time.Second
+
+	// handOverTime bounds how long a node that leaves waits for others to
+	// take its shares.
+	handOverTime = 2 * time.Second
 )
 
 // Node is one process of the system.
@@ -83,7 +87,8 @@
 	hosts.senders, hosts.client = out, control
 	versions := newConfigDuty(vars, s, logs.For(n.logger, "config"))
 	versions.senders, versions.client, versions.platform, versions.roster = out, control, platform, hosts
-	contract := newContractDuty(vars, versions, logs.For(n.logger, "contract"))
+	contract := newContractDuty(vars, s, versions, logs.For(n.logger, "contract"))
+	contract.senders, contract.client, contract.platform, contract.roster = out, control, platform, hosts
 	gates := newGateDuty(vars, logs.For(n.logger, "gate"))
 	book := newCallsDuty(vars)
 	claims := newClaimDuty(vars, n.platform, logs.For(n.logger, "claim"))
@@ -124,6 +129,7 @@
 	control := http.NewServeMux()
 	control.Handle(wire.ConfigPathPrefix, wire.NewConfigServer(config))
 	control.Handle(wire.RosterPathPrefix, wire.NewRosterServer(hosts))
+	control.Handle(wire.SharesPathPrefix, wire.NewSharesServer(n.front.contract))
 	peer.Any("/twirp/*", echo.WrapHandler(signer.Verify(control)))
 
 	return []*server{
@@ -222,4 +228,9 @@
 			n.log.Warnf("shutdown of the %s listener: %v.", s.name, err)
 		}
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
+	defer cancel()
+	if err := n.front.contract.HandOver(ctx); err != nil {
+		n.log.Warnf("%v.", err)
+	}
 }
--- /dev/null
+++ b/internal/mesh/share/amount.go
@@ -0,0 +1,59 @@
+// Package share decides how a node takes, lends and returns shares of the
+// organisations' contracts. The sum over all nodes and all messages in flight
+// never exceeds a contract, whatever is lost, repeated or late.
+package share
+
+import (
+	"math"
+	"math/bits"
+)
+
+// Amount is a number of requests, in millionths. Whole numbers keep sums over
+// many transfers exact, which floating point does not.
+type Amount int64
+
+// One is one request.
+const One Amount = 1_000_000
+
+// FromRequests returns the amount nearest below a number of requests.
+func FromRequests(n float64) (a Amount) { return Amount(math.Floor(n * float64(One))) }
+
+// Requests returns the amount as a number of requests.
+func (a Amount) Requests() (n float64) { return float64(a) / float64(One) }
+
+// scale returns a × part / whole for 0 <= part and 0 < whole.
+func (a Amount) scale(part, whole Amount) (scaled Amount) {
+	high, low := bits.Mul64(uint64(a), uint64(part))
+	if high >= uint64(whole) {
+		return math.MaxInt64
+	}
+	quotient, _ := bits.Div64(high, low, uint64(whole))
+	return Amount(min(quotient, math.MaxInt64))
+}
+
+// Parcel is a part of a contract.
+type Parcel struct {
+	// Rate is per second and at least 0.
+	Rate Amount
+
+	// Capacity is the part of the burst and at least 0.
+	Capacity Amount
+
+	// Tokens is at least 0 and at most Capacity.
+	Tokens Amount
+}
+
+func (p Parcel) plus(q Parcel) (sum Parcel) {
+	return Parcel{Rate: p.Rate + q.Rate, Capacity: p.Capacity + q.Capacity, Tokens: p.Tokens + q.Tokens}
+}
+
+func (p Parcel) minus(q Parcel) (rest Parcel) {
+	return Parcel{Rate: p.Rate - q.Rate, Capacity: p.Capacity - q.Capacity, Tokens: p.Tokens - q.Tokens}
+}
+
+func (p Parcel) empty() bool { return p.Rate == 0 && p.Capacity == 0 }
+
+// Valid reports whether the parcel keeps its invariants.
+func (p Parcel) Valid() bool {
+	return p.Rate >= 0 && p.Tokens >= 0 && p.Tokens <= p.Capacity
+}
--- /dev/null
+++ b/internal/mesh/share/fleet_test.go
@@ -0,0 +1,350 @@
+package share
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+const (
+	testOrganisation = mesh.OrganisationName("acme")
+	testLease        = 2 * time.Hour
+)
+
+// letter is a batch on its way between two ledgers.
+type letter struct {
+	from, to netip.AddrPort
+	batch    Batch
+	reply    bool
+	at       time.Time
+}
+
+// fleet is a set of ledgers that exchange batches through a list in memory,
+// with one platform row. Time only passes when a test says so.
+type fleet struct {
+	now      time.Time
+	addrs    []netip.AddrPort
+	zones    map[netip.AddrPort]mesh.ZoneName
+	ledgers  map[netip.AddrPort]*Ledger
+	rate     float64
+	burst    float64
+	row      Row
+	hasRow   bool
+	letters  []letter
+	jobs     []letterJob
+	nonce    int
+	lives    mesh.Incarnation
+	local    time.Duration
+	remote   time.Duration
+	decided  map[uint64]bool
+	tickets  uint64
+	messages int
+}
+
+// letterJob is an issue on its way to the platform.
+type letterJob struct {
+	from  Holder
+	issue Issue
+	asked time.Time
+}
+
+func addrOf(i int) (a netip.AddrPort) {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+}
+
+// newFleet makes perZone nodes in each zone, which all know each other.
+func newFleet(zones, perZone int, rate, burst float64) (f *fleet) {
+	f = &fleet{
+		now:   time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		zones: make(map[netip.AddrPort]mesh.ZoneName), ledgers: make(map[netip.AddrPort]*Ledger),
+		rate: rate, burst: burst,
+		local: 500 * time.Microsecond, remote: 500 * time.Microsecond,
+		decided: make(map[uint64]bool),
+	}
+	for z := range zones {
+		for range perZone {
+			a := addrOf(len(f.addrs) + 1)
+			f.addrs = append(f.addrs, a)
+			f.zones[a] = mesh.ZoneName(fmt.Sprintf("zone-%d", z))
+		}
+	}
+	for _, a := range f.addrs {
+		f.start(a)
+	}
+	for _, a := range f.addrs {
+		f.place(a)
+	}
+	return f
+}
+
+// start begins a new life of the node at a.
+func (f *fleet) start(a netip.AddrPort) {
+	f.lives++
+	l := New(Holder{Addr: a, Life: f.lives})
+	f.ledgers[a] = l
+	f.place(a)
+	f.perform(a, l.Step(f.now, f.configured()))
+}
+
+func (f *fleet) configured() (e Configured) {
+	names := make(map[mesh.ZoneName]bool)
+	for _, z := range f.zones {
+		names[z] = true
+	}
+	return Configured{
+		Contracts: map[mesh.OrganisationName]mesh.Contract{testOrganisation: {Rate: f.rate, Burst: f.burst}},
+		Zones:     len(names), Lease: testLease,
+	}
+}
+
+func (f *fleet) place(a netip.AddrPort) {
+	hosts := make(map[netip.AddrPort]mesh.Host)
+	for _, o := range f.addrs {
+		if f.ledgers[o] != nil || o == a {
+			hosts[o] = mesh.Host{Addr: o, Zone: f.zones[o]}
+		}
+	}
+	f.ledgers[a].SetPlaces(NewPlaces(a, f.zones[a], hosts))
+}
+
+func (f *fleet) perform(from netip.AddrPort, actions []Action) {
+	for _, x := range actions {
+		switch x := x.(type) {
+		case Send:
+			f.messages++
+			f.letters = append(f.letters, letter{from: from, to: x.To, batch: x.Batch, at: f.now.Add(f.delay(from, x.To))})
+		case Issue:
+			f.jobs = append(f.jobs, letterJob{from: f.ledgers[from].Self(), issue: x, asked: f.now})
+		case Decide:
+			f.decided[x.Ticket] = x.Admitted
+		}
+	}
+}
+
+func (f *fleet) delay(a, b netip.AddrPort) (d time.Duration) {
+	if f.zones[a] == f.zones[b] {
+		return f.local
+	}
+	return f.remote
+}
+
+// hand delivers a letter; what the receiver says to the sender is its reply.
+func (f *fleet) hand(m letter) {
+	l := f.ledgers[m.to]
+	if l == nil {
+		return
+	}
+	actions := l.Step(f.now, Delivered{From: m.from, Batch: m.batch, Reply: m.reply})
+	start := len(f.letters)
+	f.perform(m.to, actions)
+	for i := range f.letters[start:] {
+		if n := &f.letters[start+i]; n.to == m.from && !m.reply {
+			n.reply = true
+		}
+	}
+}
+
+// run executes a job at the platform. A lost answer of an applied write is
+// found by its nonce, or not at all.
+func (f *fleet) run(j letterJob, lost bool) {
+	if !f.hasRow {
+		f.row, f.hasRow = NewRow(j.issue.Change.Contract), true
+	}
+	f.nonce++
+	after, fresh, applies := f.row.Apply(j.issue.Change, fmt.Sprint(f.nonce))
+	e := Issued{Organisation: testOrganisation, Asked: j.asked}
+	if applies {
+		f.row = after
+		e.Written, e.Fresh = j.issue.Change.Root, fresh
+	}
+	e.Row = Row{Fresh: f.row.Fresh, Grants: slices.Clone(f.row.Grants)}
+	l := f.ledgers[j.from.Addr]
+	switch {
+	case l == nil || l.Self() != j.from:
+	case lost:
+		f.perform(j.from.Addr, l.Step(f.now, IssueFailed{Organisation: testOrganisation}))
+	default:
+		f.perform(j.from.Addr, l.Step(f.now, e))
+	}
+}
+
+// admit asks the node at a for a token and returns the ticket.
+func (f *fleet) admit(a netip.AddrPort) (ticket uint64) {
+	f.tickets++
+	ticket = f.tickets
+	verdict, actions := f.ledgers[a].Admit(f.now, testOrganisation, f.now.Add(time.Second), ticket)
+	if verdict == Admitted {
+		f.decided[ticket] = true
+	}
+	if verdict == Refused {
+		f.decided[ticket] = false
+	}
+	f.perform(a, actions)
+	return ticket
+}
+
+// advance lets time pass up to the given moment, delivering every letter and
+// waking every ledger in the order of their times.
+func (f *fleet) advance(to time.Time) {
+	for {
+		for len(f.jobs) > 0 {
+			j := f.jobs[0]
+			f.jobs = f.jobs[1:]
+			f.run(j, false)
+		}
+		at, next := f.next()
+		if next == nil || at.After(to) {
+			f.now = to
+			return
+		}
+		if at.After(f.now) {
+			f.now = at
+		}
+		next()
+	}
+}
+
+func (f *fleet) next() (at time.Time, next func()) {
+	for i, m := range f.letters {
+		if next == nil || m.at.Before(at) {
+			at, next = m.at, func() {
+				f.letters = slices.Delete(f.letters, i, i+1)
+				f.hand(m)
+			}
+		}
+	}
+	for _, a := range f.addrs {
+		l := f.ledgers[a]
+		if l == nil || l.Wake().IsZero() || next != nil && !l.Wake().Before(at) {
+			continue
+		}
+		at, next = l.Wake(), func() { f.perform(a, l.Step(f.now, Woken{})) }
+	}
+	return at, next
+}
+
+// undecided returns the parcels of transfers that their receivers may still
+// apply, each counted once.
+func (f *fleet) undecided() (sum Parcel) {
+	type name struct {
+		from Holder
+		to   netip.AddrPort
+		id   uint64
+	}
+	counted := make(map[name]bool)
+	count := func(from Holder, to netip.AddrPort, t Transfer, end time.Time) {
+		n := name{from: from, to: to, id: t.ID}
+		l := f.ledgers[to]
+		if counted[n] || l == nil || t.Life != l.Self().Life || !end.After(f.now) {
+			return
+		}
+		p := l.peer(from.Addr)
+		_, decided := p.seen[t.ID]
+		if p.life > from.Life || p.life == from.Life && (decided || t.ID < p.floor) {
+			return
+		}
+		counted[n] = true
+		sum = sum.plus(t.Parcel)
+	}
+	for _, l := range f.ledgers {
+		if l == nil {
+			continue
+		}
+		for to, p := range l.busy {
+			for _, n := range p.pending {
+				count(l.Self(), to, n.transfer, n.expires)
+			}
+		}
+	}
+	for _, m := range f.letters {
+		if f.now.Sub(m.batch.Sent) > maxAge {
+			continue
+		}
+		for _, t := range m.batch.Transfers {
+			count(Holder{Addr: m.from, Life: m.batch.Life}, m.to, t, f.now.Add(t.Lease))
+		}
+	}
+	return sum
+}
+
+// held returns what all nodes together hold.
+func (f *fleet) held() (sum Parcel) {
+	for _, l := range f.ledgers {
+		if l != nil {
+			sum = sum.plus(l.Held(f.now, testOrganisation))
+		}
+	}
+	return sum
+}
+
+// check fails the test when more is held or on its way than was issued, or a
+// lot breaks its invariants.
+func (f *fleet) check(t interface{ Fatalf(string, ...any) }) {
+	got := f.held().plus(f.undecided())
+	want := f.row.Sum()
+	if got.Rate > want.Rate || got.Capacity > want.Capacity {
+		t.Fatalf("held and on the way: got %+v, want at most %+v", got, want)
+	}
+	for a, l := range f.ledgers {
+		if l == nil {
+			continue
+		}
+		if p := l.Held(f.now, testOrganisation); !p.Valid() {
+			t.Fatalf("shares of %v: got %+v, want tokens within capacity", a, p)
+		}
+		for k, n := range l.accounts[testOrganisation].loans {
+			if n.parcel.Rate < 0 || n.parcel.Capacity < 0 {
+				t.Fatalf("loan of %v to %v: got %+v, want none below zero", a, k.borrower, n.parcel)
+			}
+		}
+	}
+}
+
+// refusals returns how many requests were not admitted.
+func (f *fleet) refusals() (n int) {
+	for ticket := range f.tickets {
+		if !f.decided[ticket+1] {
+			n++
+		}
+	}
+	return n
+}
+
+// settle gives a fleet time to issue all shares and fill them.
+func (f *fleet) settle(d time.Duration) { f.advance(f.now.Add(d)) }
+
+// TestFleetIssuesContract guards against shares that are not issued, or issued
+// beyond the contract, when all nodes start at once.
+func TestFleetIssuesContract(t *testing.T) {
+	f := newFleet(3, 4, 90, 90)
+	f.settle(5 * time.Second)
+	f.check(t)
+	got := f.held()
+	if got.Rate < FromRequests(89.9) || got.Capacity < FromRequests(89.9) {
+		t.Errorf("got %+v, want all of 90 a second with burst 90", got)
+	}
+}
+
+// TestUnevenDemandIsAdmitted guards against refusals inside the contract when
+// all calls of an organisation arrive at one node, which holds no share.
+func TestUnevenDemandIsAdmitted(t *testing.T) {
+	for _, zones := range []int{1, 3, 11} {
+		for node := range 8 {
+			f := newFleet(zones, 8, 100, 100)
+			f.settle(5 * time.Second)
+			for range 1000 {
+				f.admit(f.addrs[node])
+				f.settle(time.Second / 90)
+				f.check(t)
+			}
+			f.settle(time.Second)
+			if got := f.refusals(); got > 0 {
+				t.Errorf("%d zones, node %d: got %d of 1000 requests refused, want none", zones, node, got)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/share/invariant_test.go
@@ -0,0 +1,130 @@
+package share
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// bucket checks that admissions in every window stay within burst plus rate
+// times window: that holds exactly when a full bucket of that size and rate
+// never runs dry.
+type bucket struct {
+	tokens, rate, burst float64
+	last                time.Time
+}
+
+func (b *bucket) take(now time.Time) (within bool) {
+	b.tokens = min(b.burst, b.tokens+b.rate*now.Sub(b.last).Seconds())
+	b.last = now
+	b.tokens--
+	return b.tokens > -1e-6
+}
+
+// chaos drives a fleet by random steps.
+type chaos struct {
+	*fleet
+	admitted bucket
+}
+
+func (c *chaos) count(t *rapid.T) {
+	for ticket, admitted := range c.decided {
+		if admitted && !c.admitted.take(c.now) {
+			t.Fatalf("admission %d at %v: got more than burst plus rate times window", ticket, c.now)
+		}
+		delete(c.decided, ticket)
+	}
+}
+
+func (c *chaos) node(t *rapid.T) (a netip.AddrPort) {
+	return rapid.SampledFrom(c.addrs).Draw(t, "node")
+}
+
+func (c *chaos) step(t *rapid.T) {
+	kind := rapid.SampledFrom([]string{
+		"admit", "admit", "admit", "letter", "letter", "letter", "letter", "repeat", "lose", "job", "lose-job",
+		"wait", "wait", "pause", "crash", "leave", "lease",
+	}).Draw(t, "step")
+	switch kind {
+	case "admit":
+		if a := c.node(t); c.ledgers[a] != nil {
+			c.admit(a)
+		}
+	case "letter", "repeat", "lose":
+		c.mail(t, kind)
+	case "job", "lose-job":
+		if len(c.jobs) > 0 {
+			j := c.jobs[0]
+			c.jobs = c.jobs[1:]
+			c.run(j, kind == "lose-job")
+		}
+	case "wait", "pause", "lease":
+		c.wait(t, kind)
+	case "crash", "leave":
+		c.stop(t, kind)
+	}
+	c.count(t)
+	c.check(t)
+}
+
+// mail delivers a letter in any order, maybe more than once, or loses it.
+func (c *chaos) mail(t *rapid.T, kind string) {
+	if len(c.letters) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(c.letters)-1).Draw(t, "letter")
+	m := c.letters[i]
+	if kind != "repeat" {
+		c.letters = slices.Delete(c.letters, i, i+1)
+	}
+	if kind != "lose" {
+		c.hand(m)
+	}
+}
+
+func (c *chaos) wait(t *rapid.T, kind string) {
+	longest := map[string]time.Duration{"wait": 50 * time.Millisecond, "pause": 3 * time.Second, "lease": 40 * time.Minute}[kind]
+	c.now = c.now.Add(time.Duration(rapid.Int64Range(1, int64(longest)).Draw(t, "time")))
+	if kind == "pause" {
+		// A node that is paused sees none of this time.
+		return
+	}
+	for _, a := range c.addrs {
+		if l := c.ledgers[a]; l != nil && !l.Wake().IsZero() && !l.Wake().After(c.now) {
+			c.perform(a, l.Step(c.now, Woken{}))
+		}
+	}
+}
+
+// stop ends a node, at once or in order, and starts it or another one anew.
+func (c *chaos) stop(t *rapid.T, kind string) {
+	a := c.node(t)
+	if c.ledgers[a] == nil {
+		c.start(a)
+		return
+	}
+	if kind == "leave" {
+		c.perform(a, c.ledgers[a].Step(c.now, Leave{}))
+		return
+	}
+	c.ledgers[a] = nil
+}
+
+// TestInvariants guards against allowance that appears from lost, repeated,
+// reordered or late messages, lost answers of the platform, crashes, restarts,
+// hand-overs, pauses and ended leases, in any combination.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(2, 3, 8, 12)
+		c := &chaos{fleet: f, admitted: bucket{tokens: 12, rate: 8, burst: 12, last: f.now}}
+		if rapid.Bool().Draw(t, "settled") {
+			f.settle(5 * time.Second)
+		}
+		for range rapid.IntRange(10, 250).Draw(t, "steps") {
+			c.step(t)
+		}
+	})
+}
--- /dev/null
+++ b/internal/mesh/share/ledger.go
@@ -0,0 +1,276 @@
+package share
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+const (
+	// patience bounds how long a request waits for tokens. It covers the
+	// few messages that fetch a share from another region and back.
+	patience = 250 * time.Millisecond
+
+	// maxWaiting bounds the requests of one organisation that wait.
+	maxWaiting = 256
+
+	// careInterval is how often an active account measures its demand and
+	// returns what it does not use.
+	careInterval = 500 * time.Millisecond
+
+	// ackDelay is how long an acknowledgement waits for another message to
+	// travel with. It is below firstRepeat.
+	ackDelay = 200 * time.Millisecond
+
+	// firstRepeat and lastRepeat bound the time between two sendings of a
+	// transfer that is not acknowledged.
+	firstRepeat = 500 * time.Millisecond
+	lastRepeat  = 8 * time.Second
+
+	// leaseMargin covers messages that arrive late. It is above twice maxAge.
+	leaseMargin = 5 * time.Minute
+
+	// maxAge is the difference between the time stamp of a message and the
+	// receiver's clock beyond which the message is dropped.
+	maxAge = 2 * time.Minute
+
+	// avoidTime is how long a peer that failed is asked last.
+	avoidTime = 2 * time.Second
+)
+
+// Ledger is the owner's record of this node's shares and of what it lent.
+type Ledger struct {
+	self     Holder
+	places   *Places
+	zones    int
+	lease    time.Duration
+	leaving  bool
+	left     time.Time
+	accounts map[mesh.OrganisationName]*account
+
+	// names lists the accounts in order, so that equal ledgers do the same.
+	names []mesh.OrganisationName
+	peers map[netip.AddrPort]*peer
+
+	// busy holds the peers with transfers or acknowledgements to send.
+	busy map[netip.AddrPort]*peer
+
+	// out collects what the present step says to each peer, and order names
+	// the peers in the order in which they were first spoken to.
+	out     map[netip.AddrPort]*Batch
+	order   []netip.AddrPort
+	actions []Action
+	wake    time.Time
+}
+
+// account is the record of one organisation.
+type account struct {
+	name     mesh.OrganisationName
+	contract Parcel
+
+	// lots are sorted by the end of their leases.
+	lots    []*lot
+	pool    pool
+	loans   map[loanKey]*loan
+	waiting []waiter
+	demand  demand
+	round   round
+	issue   issue
+
+	// careAt is when the account needs attention, or zero while it has
+	// neither lots nor demand.
+	careAt time.Time
+}
+
+// waiter is a request or a peer that waits for tokens.
+type waiter struct {
+	// ticket names the request; it is unused when peer is valid.
+	ticket uint64
+	peer   netip.AddrPort
+	ask    Ask
+	until  time.Time
+}
+
+// New returns the ledger of a process that starts. It holds no share.
+func New(self Holder) (l *Ledger) {
+	return &Ledger{
+		self:     self,
+		accounts: make(map[mesh.OrganisationName]*account),
+		peers:    make(map[netip.AddrPort]*peer),
+		busy:     make(map[netip.AddrPort]*peer),
+		out:      make(map[netip.AddrPort]*Batch),
+	}
+}
+
+// Self returns the life that the ledger belongs to.
+func (l *Ledger) Self() (self Holder) { return l.self }
+
+// SetPlaces brings the hosts that are alive.
+func (l *Ledger) SetPlaces(p *Places) { l.places = p }
+
+// Wake returns when the ledger next needs a Woken event; zero means not
+// before another event.
+func (l *Ledger) Wake() (at time.Time) { return l.wake }
+
+// Verdict is the first answer to a request.
+type Verdict uint8
+
+// Verdicts on a request.
+const (
+	Refused Verdict = iota
+	Admitted
+	Waits
+)
+
+// Admit takes one token of the organisation. A request that waits is decided
+// by a later action under its ticket.
+func (l *Ledger) Admit(now time.Time, name mesh.OrganisationName, deadline time.Time, ticket uint64) (v Verdict, actions []Action) {
+	a, found := l.accounts[name]
+	if !found {
+		return Refused, nil
+	}
+	a.demand.count++
+	if a.careAt.IsZero() {
+		a.careAt = now.Add(careInterval)
+		a.demand.rolled = now
+		l.wakeBy(a.careAt)
+	}
+	if len(a.waiting) == 0 && a.take(now) {
+		return Admitted, nil
+	}
+	if len(a.waiting) >= maxWaiting || l.leaving {
+		return Refused, nil
+	}
+	until := now.Add(patience)
+	if deadline.Before(until) {
+		until = deadline
+	}
+	a.waiting = append(a.waiting, waiter{ticket: ticket, until: until})
+	l.advance(now, a)
+	return Waits, l.finish(now)
+}
+
+// Step takes in one event and returns what to do.
+func (l *Ledger) Step(now time.Time, event mesh.Event) (actions []Action) {
+	switch e := event.(type) {
+	case Configured:
+		l.configure(now, e)
+	case Delivered:
+		l.deliver(now, e)
+	case Unreachable:
+		l.unreachable(now, e.To)
+	case Issued:
+		l.issued(now, e)
+	case IssueFailed:
+		l.issueFailed(now, e)
+	case Leave:
+		l.leave(now)
+	case Woken:
+		l.woken(now)
+	}
+	return l.finish(now)
+}
+
+// woken does what is due.
+func (l *Ledger) woken(now time.Time) {
+	for _, name := range l.names {
+		a := l.accounts[name]
+		l.endLeases(now, a)
+		l.care(now, a)
+		l.advance(now, a)
+	}
+	l.repeat(now)
+}
+
+// finish turns what the step said to peers into actions and works out when
+// the ledger must wake.
+func (l *Ledger) finish(now time.Time) (actions []Action) {
+	for _, to := range l.order {
+		b, p := l.out[to], l.peer(to)
+		b.Life, b.Sent = l.self.Life, now
+		b.Acks, b.Denied = append(b.Acks, p.acks...), append(b.Denied, p.denied...)
+		p.acks, p.denied, p.ackAt = nil, nil, time.Time{}
+		l.actions = append(l.actions, Send{To: to, Batch: *b})
+		delete(l.out, to)
+	}
+	l.order = l.order[:0]
+	l.wake = time.Time{}
+	for _, a := range l.accounts {
+		l.wakeForAccount(now, a)
+	}
+	for addr, p := range l.busy {
+		if len(p.pending) == 0 && p.ackAt.IsZero() {
+			delete(l.busy, addr)
+		}
+		l.wakeBy(p.ackAt)
+		for _, t := range p.pending {
+			l.wakeBy(t.sendAt)
+		}
+	}
+	actions, l.actions = l.actions, nil
+	return actions
+}
+
+func (l *Ledger) wakeForAccount(now time.Time, a *account) {
+	l.wakeBy(a.careAt)
+	l.wakeBy(a.issue.at)
+	if len(a.waiting) == 0 {
+		return
+	}
+	l.wakeBy(a.round.stepAt)
+	l.wakeBy(a.refillAt(now))
+	for _, w := range a.waiting {
+		l.wakeBy(w.until)
+	}
+}
+
+// refillAt returns when the lots of the account will have a whole token.
+func (a *account) refillAt(now time.Time) (at time.Time) {
+	t := a.total(now)
+	if t.Tokens >= One || t.Rate == 0 || t.Capacity < One {
+		return time.Time{}
+	}
+	return now.Add(time.Duration((One-t.Tokens).scale(Amount(time.Second), t.Rate)) + time.Microsecond)
+}
+
+func (l *Ledger) wakeBy(at time.Time) {
+	if !at.IsZero() && (l.wake.IsZero() || at.Before(l.wake)) {
+		l.wake = at
+	}
+}
+
+// to returns what the present step says to a peer.
+func (l *Ledger) to(addr netip.AddrPort) (b *Batch) {
+	b, found := l.out[addr]
+	if !found {
+		b = new(Batch)
+		l.out[addr] = b
+		l.order = append(l.order, addr)
+	}
+	return b
+}
+
+// demand measures how many requests arrive.
+type demand struct {
+	// count is the number since rolled.
+	count  int64
+	rolled time.Time
+
+	// rate is the smoothed arrival rate per second.
+	rate Amount
+}
+
+// roll takes the count into the rate.
+func (d *demand) roll(now time.Time) {
+	elapsed := now.Sub(d.rolled)
+	if elapsed <= 0 {
+		return
+	}
+	arrived := (Amount(d.count) * One).scale(Amount(time.Second), Amount(elapsed))
+	d.rate = (d.rate + arrived) / 2
+	if d.rate < One/100 {
+		d.rate = 0
+	}
+	d.count, d.rolled = 0, now
+}
--- /dev/null
+++ b/internal/mesh/share/lend.go
@@ -0,0 +1,406 @@
+package share
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+const (
+	// hedgeTime is how long a round waits for answers before it asks more
+	// peers.
+	hedgeTime = 20 * time.Millisecond
+
+	// firstPause and lastPause bound the time between two rounds that
+	// brought nothing. The upper bound keeps the messages of a node about
+	// an exhausted contract to a few a second.
+	firstPause = 25 * time.Millisecond
+	lastPause  = time.Second
+
+	// askWidth is how many peers a holder asks at a time.
+	askWidth = 6
+
+	// borrowersAsked bounds how many borrowers one round asks.
+	borrowersAsked = 4
+
+	// borrowersRecalled bounds how many borrowers are asked at a time to
+	// return what a lowered contract demands.
+	borrowersRecalled = 32
+
+	// holderDepth lets an ask of a holder reach the borrowers of holders in
+	// other zones, and leafDepth one of any other node, which starts one step
+	// further away.
+	holderDepth = 2
+	leafDepth   = 3
+
+	// leastGift is the smallest part of a request that is worth a message.
+	leastGift = One / 4
+)
+
+// round is the search for tokens on behalf of those that wait.
+type round struct {
+	// order lists whom to ask. It is empty between rounds.
+	order []netip.AddrPort
+
+	// open is the number of peers that were asked and have not answered.
+	open int
+
+	// stepAt is when more peers are asked, or the next round starts.
+	stepAt time.Time
+	pause  time.Duration
+	number int
+}
+
+// advance serves those that wait as far as tokens allow, refuses those whose
+// time is over and asks peers for the rest.
+func (l *Ledger) advance(now time.Time, a *account) {
+	l.serve(now, a)
+	a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) (over bool) {
+		if w.until.After(now) {
+			return false
+		}
+		l.turnAway(a, w)
+		return true
+	})
+	if len(a.waiting) == 0 {
+		a.round.order, a.round.open = nil, 0
+		return
+	}
+	if !a.round.stepAt.After(now) {
+		l.stepRound(now, a)
+	}
+}
+
+// turnAway answers one that waited in vain.
+func (l *Ledger) turnAway(a *account, w waiter) {
+	if w.peer.IsValid() {
+		b := l.to(w.peer)
+		b.None = append(b.None, a.name)
+		return
+	}
+	l.actions = append(l.actions, Decide{Ticket: w.ticket})
+}
+
+// serve gives to those that wait, in their order.
+func (l *Ledger) serve(now time.Time, a *account) {
+	for len(a.waiting) > 0 {
+		w := a.waiting[0]
+		switch {
+		case !w.until.After(now):
+			l.turnAway(a, w)
+		case w.peer.IsValid():
+			if !l.give(now, a, w.peer, w.ask) {
+				return
+			}
+		case a.take(now):
+			l.actions = append(l.actions, Decide{Ticket: w.ticket, Admitted: true})
+		default:
+			return
+		}
+		a.waiting = a.waiting[1:]
+	}
+}
+
+// stepRound asks the next peers, or ends the round when all were asked.
+func (l *Ledger) stepRound(now time.Time, a *account) {
+	r := &a.round
+	if len(r.order) == 0 && r.open == 0 {
+		r.number++
+		r.order = l.candidates(now, a)
+		l.takeFree(now, a)
+	}
+	if len(r.order) == 0 {
+		r.open = 0
+		r.pause = min(max(firstPause, 2*r.pause), lastPause)
+		r.stepAt = now.Add(r.pause)
+		return
+	}
+	width := askWidth
+	if l.leaf(a) {
+		width = 1
+	}
+	n := min(width, len(r.order))
+	for _, to := range r.order[:n] {
+		l.ask(now, a, to)
+	}
+	r.order = r.order[n:]
+	r.open += n
+	r.stepAt = now.Add(hedgeTime)
+}
+
+// depth returns how far an ask on behalf of those that wait may go on.
+func (l *Ledger) depth(a *account) (depth int) {
+	for _, w := range a.waiting {
+		if !w.peer.IsValid() && l.leaf(a) {
+			return leafDepth
+		}
+		if !w.peer.IsValid() {
+			return holderDepth
+		}
+		depth = max(depth, w.ask.Depth)
+	}
+	return depth
+}
+
+// leaf reports whether this node only borrows for its own requests.
+func (l *Ledger) leaf(a *account) (leaf bool) {
+	if l.places == nil || l.places.holds(a.name) || len(a.loans) > 0 {
+		return false
+	}
+	return !slices.ContainsFunc(a.lots, func(o *lot) bool { return !o.leaf })
+}
+
+// candidates returns whom to ask: holders of this zone, borrowers, holders of
+// other zones. Peers that failed lately come last.
+func (l *Ledger) candidates(now time.Time, a *account) (order []netip.AddrPort) {
+	if l.places == nil {
+		return nil
+	}
+	byZone := l.places.holders(a.name)
+	depth := l.depth(a)
+	if l.leaf(a) {
+		order = rotate(byZone[0], int(l.self.Addr.Port())+int(l.self.Addr.Addr().As16()[15])+a.round.number-1)
+		order = append(order, firsts(byZone[1:], a.round.number, 1)...)
+	} else {
+		if depth > 1 {
+			order = append(order, byZone[0]...)
+		}
+		order = append(order, a.borrowers(a.round.number, borrowersAsked)...)
+		if depth > 1 {
+			order = append(order, firsts(byZone[1:], a.round.number, holdersPerZone)...)
+			order = append(order, l.keepers(a)...)
+		}
+	}
+	return l.usable(now, order)
+}
+
+// keepers returns the hosts that hold issued shares according to the
+// platform's row. Some are no holders by the present roster.
+func (l *Ledger) keepers(a *account) (addrs []netip.AddrPort) {
+	for _, g := range a.issue.row.Grants {
+		if l.places.alive[g.Keeper] {
+			addrs = append(addrs, g.Keeper)
+		}
+	}
+	return addrs
+}
+
+// usable drops repeats and this node, and moves peers that failed to the end.
+func (l *Ledger) usable(now time.Time, addrs []netip.AddrPort) (order []netip.AddrPort) {
+	var avoided []netip.AddrPort
+	for _, to := range addrs {
+		switch {
+		case to == l.self.Addr, slices.Contains(order, to), slices.Contains(avoided, to):
+		case l.peer(to).avoidUntil.After(now):
+			avoided = append(avoided, to)
+		default:
+			order = append(order, to)
+		}
+	}
+	return append(order, avoided...)
+}
+
+// firsts returns the holders of the zones, the first of each zone before the
+// second ones. The round's number rotates the zones.
+func firsts(byZone [][]netip.AddrPort, number, perZone int) (addrs []netip.AddrPort) {
+	zones := slices.Clone(byZone)
+	if len(zones) > 0 {
+		n := number % len(zones)
+		zones = append(zones[n:], zones[:n]...)
+	}
+	for i := range perZone {
+		for _, zone := range zones {
+			if i < len(zone) {
+				addrs = append(addrs, zone[i])
+			}
+		}
+	}
+	return addrs
+}
+
+func rotate(addrs []netip.AddrPort, by int) (rotated []netip.AddrPort) {
+	if len(addrs) == 0 {
+		return nil
+	}
+	n := by % len(addrs)
+	return append(slices.Clone(addrs[n:]), addrs[:n]...)
+}
+
+// borrowers returns those that hold most of what this node lent.
+func (a *account) borrowers(number, count int) (addrs []netip.AddrPort) {
+	type held struct {
+		addr   netip.AddrPort
+		parcel Parcel
+	}
+	var all []held
+	for k, n := range a.loans {
+		all = append(all, held{addr: k.borrower.Addr, parcel: n.parcel})
+	}
+	slices.SortFunc(all, func(x, y held) int {
+		if d := cmp.Compare(y.parcel.Capacity+y.parcel.Rate, x.parcel.Capacity+x.parcel.Rate); d != 0 {
+			return d
+		}
+		return x.addr.Compare(y.addr)
+	})
+	// Every second round asks others than the largest borrowers, which may
+	// use all that they hold.
+	if number%2 == 0 && len(all) > count {
+		n := number / 2 * count % len(all)
+		all = append(all[n:], all[:n]...)
+	}
+	for _, h := range all[:min(len(all), count)] {
+		addrs = append(addrs, h.addr)
+	}
+	return addrs
+}
+
+// ask asks a peer on behalf of those that wait, and returns what capacity is
+// of no use here to it.
+func (l *Ledger) ask(now time.Time, a *account, to netip.AddrPort) {
+	t := a.total(now)
+	demand, rate := a.demand.now(now), t.Rate
+	for _, w := range a.waiting {
+		demand, rate = demand+w.ask.Demand, rate+w.ask.Rate
+	}
+	b := l.to(to)
+	b.Asks = append(b.Asks, Ask{
+		Organisation: a.name,
+		Need:         max(leastGift, a.need()-t.Tokens),
+		Demand:       demand,
+		Rate:         rate,
+		Depth:        l.depth(a) - 1,
+		Leaf:         l.leaf(a),
+		Wait:         a.longestWait(now),
+	})
+	for _, o := range a.lots {
+		if o.key.Lender.Addr == to {
+			l.giveBack(now, a, o, a.idle(now))
+		}
+	}
+}
+
+// need returns the tokens that those who wait need in all.
+func (a *account) need() (sum Amount) {
+	for _, w := range a.waiting {
+		if w.peer.IsValid() {
+			sum += w.ask.Need
+		} else {
+			sum += One
+		}
+	}
+	return sum
+}
+
+func (a *account) longestWait(now time.Time) (wait time.Duration) {
+	for _, w := range a.waiting {
+		wait = max(wait, w.until.Sub(now))
+	}
+	return wait
+}
+
+// asked answers the ask of a peer at once, or lets it wait when this node may
+// ask on.
+func (l *Ledger) asked(now time.Time, from netip.AddrPort, k Ask) {
+	a, found := l.accounts[k.Organisation]
+	if !found || l.leaving {
+		l.none(from, k.Organisation)
+		return
+	}
+	a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool { return w.peer == from })
+	if (len(a.waiting) == 0 || k.Recall) && l.give(now, a, from, k) {
+		return
+	}
+	if k.Depth == 0 || len(a.waiting) >= maxWaiting || l.leaf(a) {
+		l.none(from, k.Organisation)
+		return
+	}
+	a.waiting = append(a.waiting, waiter{peer: from, ask: k, until: now.Add(min(k.Wait, patience))})
+	l.advance(now, a)
+}
+
+func (l *Ledger) none(to netip.AddrPort, organisation mesh.OrganisationName) {
+	b := l.to(to)
+	b.None = append(b.None, organisation)
+}
+
+// give sends what this node does not use itself to a peer that asked, and
+// reports whether there was anything. Each side's invariants hold after every
+// step because a lot is split before the transfer exists.
+func (l *Ledger) give(now time.Time, a *account, to netip.AddrPort, k Ask) (given bool) {
+	var lots []*lot
+	var all Parcel
+	for _, o := range a.lots {
+		if l.mayGive(now, a, o, to, k) {
+			lots = append(lots, o)
+			all = all.plus(Parcel{Rate: o.rate, Capacity: o.capacity})
+		}
+	}
+	all.Tokens = min(a.total(now).Tokens, all.Capacity)
+	want := a.gift(now, all, k)
+	if !k.Recall && want.Tokens < min(k.Need, leastGift) && want.Rate < leastGift {
+		return false
+	}
+	for _, o := range lots {
+		ask := want
+		if o.key.Lender.Addr == to {
+			ask.Capacity = max(ask.Capacity, a.idle(now).Capacity)
+		}
+		part := a.split(now, o, ask)
+		if part.empty() {
+			continue
+		}
+		l.move(now, a, o, to, part, k.Leaf)
+		want.Rate, want.Capacity = want.Rate-part.Rate, max(0, want.Capacity-part.Capacity)
+		want.Tokens = max(0, want.Tokens-part.Tokens)
+		given = true
+	}
+	return given
+}
+
+// mayGive reports whether the lot may go to the peer: back to its lender, on
+// loan to a node that does not lend, or on loan from the lots that the
+// platform issued. These rules keep chains of loans short, so that a lender
+// can tell when all parts of a loan have ended.
+func (l *Ledger) mayGive(now time.Time, a *account, o *lot, to netip.AddrPort, k Ask) (may bool) {
+	if !o.until.After(now) {
+		return false
+	}
+	if o.key.Lender.Addr == to {
+		return o.key.Lender.Life == l.peer(to).life
+	}
+	if o.leaf || k.Recall || o.until.Sub(now) < l.lease/leaseParts {
+		return false
+	}
+	key := loanKey{borrower: Holder{Addr: to, Life: l.peer(to).life}, root: o.key.Root}
+	if n, found := a.loans[key]; found && !n.until.After(now) {
+		return false
+	}
+	return o.root() || k.Leaf
+}
+
+// gift returns what to give out of all that may be given. Half of the tokens
+// stay when they are in use here, so that two busy nodes share them.
+func (a *account) gift(now time.Time, all Parcel, k Ask) (want Parcel) {
+	if k.Recall {
+		return Parcel{Rate: min(all.Rate, k.Demand), Capacity: min(all.Capacity, k.Need)}
+	}
+	own := a.demand.now(now)
+	spare := all.Tokens - min(all.Tokens/2, own/2)
+	ahead := min(k.Demand, spare/4)
+	want.Tokens = min(spare, max(k.Need, ahead))
+	want.Rate = min(max(0, all.Rate-own-own/4), max(0, k.Demand+k.Demand/2-k.Rate))
+	rest := all.Capacity - (all.Tokens - want.Tokens)
+	stays := min(rest-want.Tokens, (all.Rate-want.Rate)/4)
+	want.Capacity = min(rest-stays, want.Tokens+want.Rate/2)
+	return want
+}
+
+// now returns the arrival rate including the count that was not yet rolled.
+func (d *demand) now(now time.Time) (rate Amount) {
+	elapsed := max(now.Sub(d.rolled), careInterval)
+	recent := (Amount(d.count) * One).scale(Amount(time.Second), Amount(elapsed))
+	return max(d.rate, recent)
+}
--- /dev/null
+++ b/internal/mesh/share/move.go
@@ -0,0 +1,399 @@
+package share
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// peer is what this node knows of the exchange with one slot.
+type peer struct {
+	// life is the highest life that was seen. Messages of earlier lives are
+	// dropped.
+	life mesh.Incarnation
+
+	// nextID numbers transfers to the slot.
+	nextID uint64
+
+	// pending holds the transfers that the peer has not acknowledged.
+	pending map[uint64]*pending
+
+	// floor is the lowest id that the peer may still repeat, and seen the ids
+	// from it on that were decided: true for applied, false for denied.
+	floor uint64
+	seen  map[uint64]bool
+
+	// acks and denied wait until ackAt for a message to travel with.
+	acks, denied []uint64
+	ackAt        time.Time
+
+	avoidUntil time.Time
+}
+
+// pending is a transfer that is debited and not acknowledged.
+type pending struct {
+	transfer Transfer
+	sendAt   time.Time
+	pause    time.Duration
+
+	// expires is when the transfer is given up. Nobody may apply it later,
+	// since its lease has ended.
+	expires time.Time
+}
+
+// loanKey names a loan. A borrower has at most one lot of a root from this
+// node.
+type loanKey struct {
+	borrower Holder
+	root     Holder
+}
+
+// loan is what a borrower, or a transfer on its way to or from it, holds.
+type loan struct {
+	// parcel has no tokens: those that were lent may be spent.
+	parcel Parcel
+
+	// until is when the borrower stops using the loan. From then on nothing
+	// is added to it, so that it can be restored at end.
+	until time.Time
+
+	// end is when no message about the loan can be on its way any more.
+	end time.Time
+
+	// leaf is true while no part of the loan may be lent on.
+	leaf bool
+}
+
+func (l *Ledger) peer(addr netip.AddrPort) (p *peer) {
+	p, found := l.peers[addr]
+	if !found {
+		p = &peer{nextID: 1, pending: make(map[uint64]*pending), seen: make(map[uint64]bool)}
+		l.peers[addr] = p
+	}
+	return p
+}
+
+// move sends a parcel that was split from the lot: back, when the peer is the
+// lender of the lot, and else as a loan.
+func (l *Ledger) move(now time.Time, a *account, o *lot, to netip.AddrPort, part Parcel, leaf bool) {
+	t := Transfer{Organisation: a.name, Root: o.key.Root, Parcel: part}
+	if o.key.Lender.Addr == to {
+		t.Kind, t.Life = Return, o.key.Lender.Life
+		l.post(now, to, t, o.until)
+		return
+	}
+	t.Life, t.Leaf, t.Lease = l.peer(to).life, leaf, o.until.Sub(now)
+	key := loanKey{borrower: Holder{Addr: to, Life: t.Life}, root: o.key.Root}
+	n, found := a.loans[key]
+	if !found {
+		n = &loan{leaf: true}
+		a.loans[key] = n
+	}
+	n.parcel.Rate += part.Rate
+	n.parcel.Capacity += part.Capacity
+	n.leaf = n.leaf && leaf
+	n.until, n.end = o.until, o.until.Add(leaseMargin)
+	l.post(now, to, t, o.until)
+}
+
+// giveBack returns a part of a borrowed lot to its lender.
+func (l *Ledger) giveBack(now time.Time, a *account, o *lot, want Parcel) (part Parcel) {
+	lender := o.key.Lender
+	if o.root() || !o.until.After(now) || l.peer(lender.Addr).life != lender.Life {
+		return part
+	}
+	if l.peer(lender.Addr).avoidUntil.After(now) && !l.leaving {
+		// The part would be of use to nobody while the lender is cut off.
+		return part
+	}
+	part = a.split(now, o, want)
+	if !part.empty() {
+		l.move(now, a, o, lender.Addr, part, false)
+	}
+	return part
+}
+
+// post sends a transfer until it is acknowledged or expires.
+func (l *Ledger) post(now time.Time, to netip.AddrPort, t Transfer, expires time.Time) {
+	p := l.peer(to)
+	t.ID = p.nextID
+	p.nextID++
+	p.pending[t.ID] = &pending{transfer: t, expires: expires, sendAt: now.Add(firstRepeat), pause: firstRepeat}
+	l.busy[to] = p
+	l.send(now, to, p, p.pending[t.ID])
+}
+
+func (l *Ledger) send(now time.Time, to netip.AddrPort, p *peer, n *pending) {
+	t := n.transfer
+	t.Floor = slices.Min(slices.Collect(maps.Keys(p.pending)))
+	t.Lease = n.expires.Sub(now)
+	b := l.to(to)
+	b.Transfers = append(b.Transfers, t)
+}
+
+// repeat sends again what was not acknowledged in time, and acknowledgements
+// that found no other message.
+func (l *Ledger) repeat(now time.Time) {
+	for _, to := range slices.SortedFunc(maps.Keys(l.busy), netip.AddrPort.Compare) {
+		p := l.busy[to]
+		for _, id := range slices.Sorted(maps.Keys(p.pending)) {
+			n := p.pending[id]
+			switch {
+			case !n.expires.After(now):
+				delete(p.pending, id)
+			case !n.sendAt.After(now):
+				n.pause = min(2*n.pause, lastRepeat)
+				n.sendAt = now.Add(n.pause)
+				l.send(now, to, p, n)
+			}
+		}
+		if !p.ackAt.IsZero() && !p.ackAt.After(now) {
+			l.to(to)
+		}
+	}
+}
+
+// deliver takes in the message of a peer.
+func (l *Ledger) deliver(now time.Time, e Delivered) {
+	p := l.peer(e.From)
+	// A message that waited long, as in a process that was paused, names
+	// leases that have meanwhile run on.
+	if e.Batch.Life < p.life || now.Sub(e.Batch.Sent).Abs() > maxAge {
+		return
+	}
+	if e.Batch.Life > p.life {
+		l.newLife(now, e.From, p, e.Batch.Life)
+	}
+	p.avoidUntil = time.Time{}
+	touched := make(map[*account]bool)
+	for _, id := range e.Batch.Acks {
+		delete(p.pending, id)
+	}
+	for _, id := range e.Batch.Denied {
+		l.wasDenied(now, e.From, p, id)
+	}
+	for _, t := range e.Batch.Transfers {
+		l.receive(now, e.From, p, t)
+		if a, found := l.accounts[t.Organisation]; found {
+			a.brought(t.Parcel.Tokens)
+			touched[a] = true
+		}
+	}
+	for _, k := range e.Batch.Asks {
+		l.asked(now, e.From, k)
+	}
+	for _, name := range e.Batch.None {
+		if a, found := l.accounts[name]; found {
+			a.answered(now)
+			touched[a] = true
+		}
+	}
+	for _, name := range l.names {
+		if a := l.accounts[name]; touched[a] {
+			l.advance(now, a)
+		}
+	}
+	if !e.Reply {
+		l.to(e.From)
+	}
+	if l.leaving {
+		l.leave(now)
+	}
+}
+
+// brought ends the pause between rounds when a round was of use.
+func (a *account) brought(tokens Amount) {
+	if tokens < leastGift {
+		return
+	}
+	a.round.pause = 0
+	if len(a.round.order) == 0 {
+		a.round.open, a.round.stepAt = 0, time.Time{}
+	}
+}
+
+// answered counts an answer without tokens. When all peers that were asked
+// have answered, the next ones are asked at once.
+func (a *account) answered(now time.Time) {
+	if a.round.open == 0 {
+		return
+	}
+	a.round.open--
+	if a.round.open == 0 && len(a.round.order) > 0 {
+		a.round.stepAt = now
+	}
+}
+
+// newLife notes that a slot runs a later process, which holds none of the
+// shares of the earlier ones. Loans that could not be lent on are restored.
+func (l *Ledger) newLife(now time.Time, addr netip.AddrPort, p *peer, life mesh.Incarnation) {
+	p.life, p.floor, p.seen = life, 0, make(map[uint64]bool)
+	p.acks, p.denied = nil, nil
+	for id, n := range p.pending {
+		if n.transfer.Life < life {
+			delete(p.pending, id)
+		}
+	}
+	for _, name := range l.names {
+		a := l.accounts[name]
+		for k, n := range a.loans {
+			if k.borrower.Addr == addr && k.borrower.Life < life && n.leaf {
+				l.restore(now, a, k, n)
+			}
+		}
+		l.advance(now, a)
+	}
+}
+
+// restore puts a loan that has ended back into its lot, without tokens.
+func (l *Ledger) restore(now time.Time, a *account, k loanKey, n *loan) {
+	delete(a.loans, k)
+	if o, found := a.source(k.root); found {
+		a.add(now, o, n.parcel)
+		a.settle(now, o)
+	}
+}
+
+// source returns the lot of a root that this node lends from.
+func (a *account) source(root Holder) (o *lot, found bool) {
+	i := slices.IndexFunc(a.lots, func(o *lot) bool { return o.key.Root == root && !o.leaf })
+	if i < 0 {
+		return nil, false
+	}
+	return a.lots[i], true
+}
+
+// receive applies a transfer once.
+func (l *Ledger) receive(now time.Time, from netip.AddrPort, p *peer, t Transfer) {
+	p.raiseFloor(t.Floor)
+	applied, decided := p.seen[t.ID]
+	if !decided && t.ID >= p.floor {
+		applied = l.apply(now, Holder{Addr: from, Life: p.life}, t)
+		p.seen[t.ID] = applied
+	}
+	if applied || t.ID < p.floor {
+		p.acks = append(p.acks, t.ID)
+	} else {
+		p.denied = append(p.denied, t.ID)
+	}
+	if p.ackAt.IsZero() {
+		p.ackAt = now.Add(ackDelay)
+	}
+	l.busy[from] = p
+}
+
+func (p *peer) raiseFloor(floor uint64) {
+	if floor <= p.floor {
+		return
+	}
+	p.floor = floor
+	maps.DeleteFunc(p.seen, func(id uint64, _ bool) bool { return id < floor })
+}
+
+// apply credits a transfer and reports false when it must not be credited.
+func (l *Ledger) apply(now time.Time, from Holder, t Transfer) (applied bool) {
+	a, found := l.accounts[t.Organisation]
+	if !found || t.Life != l.self.Life || !t.Parcel.Valid() {
+		return false
+	}
+	// What has ended must be gone before a new loan of the same lot arrives.
+	l.endLeases(now, a)
+	switch t.Kind {
+	case Loan:
+		return l.applyLoan(now, a, from, t)
+	case Return:
+		return l.applyReturn(now, a, from, t)
+	case HandOver:
+		return l.applyHandOver(now, a, from, t)
+	default:
+		return false
+	}
+}
+
+func (l *Ledger) applyLoan(now time.Time, a *account, from Holder, t Transfer) (applied bool) {
+	if l.leaving || t.Lease <= 0 {
+		return false
+	}
+	key := Key{Lender: from, Root: t.Root}
+	if o, found := a.source(t.Root); found && !t.Leaf && o.key != key {
+		return false
+	}
+	until := now.Add(t.Lease)
+	o := a.lot(now, key, until, t.Leaf)
+	o.leaf = o.leaf || t.Leaf
+	o.until = later(o.until, until)
+	a.add(now, o, t.Parcel)
+	a.sortLots()
+	if a.careAt.IsZero() {
+		a.careAt, a.demand.rolled = now.Add(careInterval), now
+	}
+	return true
+}
+
+func (l *Ledger) applyReturn(now time.Time, a *account, from Holder, t Transfer) (applied bool) {
+	key := loanKey{borrower: from, root: t.Root}
+	n, found := a.loans[key]
+	if !found || n.parcel.Rate < t.Parcel.Rate || n.parcel.Capacity < t.Parcel.Capacity {
+		return false
+	}
+	n.parcel.Rate -= t.Parcel.Rate
+	n.parcel.Capacity -= t.Parcel.Capacity
+	if n.parcel.empty() {
+		delete(a.loans, key)
+	}
+	if o, found := a.source(t.Root); found {
+		a.add(now, o, t.Parcel)
+		a.settle(now, o)
+	}
+	return true
+}
+
+// wasDenied takes in that a peer will never apply a transfer.
+func (l *Ledger) wasDenied(now time.Time, from netip.AddrPort, p *peer, id uint64) {
+	n, found := p.pending[id]
+	if !found {
+		return
+	}
+	delete(p.pending, id)
+	t := n.transfer
+	a, found := l.accounts[t.Organisation]
+	// A later life denies what its predecessor may have applied and lent on.
+	if !found || t.Kind != Loan || t.Life != p.life {
+		return
+	}
+	key := loanKey{borrower: Holder{Addr: from, Life: t.Life}, root: t.Root}
+	if loan, found := a.loans[key]; found {
+		part := Parcel{Rate: t.Parcel.Rate, Capacity: t.Parcel.Capacity}
+		loan.parcel = loan.parcel.minus(part)
+		if loan.parcel.empty() {
+			delete(a.loans, key)
+		}
+		if o, found := a.source(t.Root); found {
+			a.add(now, o, t.Parcel)
+			a.settle(now, o)
+		}
+	}
+	a.answered(now)
+}
+
+// unreachable lets others be asked first for a while.
+func (l *Ledger) unreachable(now time.Time, to netip.AddrPort) {
+	l.peer(to).avoidUntil = now.Add(avoidTime)
+	for _, name := range l.names {
+		a := l.accounts[name]
+		if len(a.waiting) > 0 {
+			a.answered(now)
+			l.advance(now, a)
+		}
+	}
+}
+
+func later(a, b time.Time) (t time.Time) {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
