node: ids of test calls follow the clock of their test

Cause: go test -count=20 failed, since the uuid package never goes back in time and a synctest clock starts in the year 2000, so ids lay in its future. Ruled out: a fault of the check for ids from the future, which was right. After: go test -count=20 -run 'Crossed|Relay|Claim' ./internal/mesh/node passes.

--- a/internal/mesh/node/claim_test.go
+++ b/internal/mesh/node/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"expvar"
 	"fmt"
@@ -10,6 +11,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,9 +112,16 @@
 	return d
 }
 
+var testCalls atomic.Uint64
+
+// newTestCall returns a call with an id of its own. The uuid package never goes
+// back in time, not even for a test whose clock starts earlier.
 func newTestCall(timeout time.Duration) (c *mesh.Call) {
-	id, _ := mesh.NewRequestID()
-	return &mesh.Call{ID: id, Organisation: "org", Route: &mesh.Route{Service: "ledger"}, Deadline: time.Now().Add(timeout)}
+	now := time.Now()
+	c = &mesh.Call{Organisation: "org", Route: &mesh.Route{Service: "ledger"}, Deadline: now.Add(timeout)}
+	binary.BigEndian.PutUint64(c.ID[:8], uint64(now.UnixMilli())<<16)
+	binary.BigEndian.PutUint64(c.ID[8:], testCalls.Add(1))
+	return c
 }
 
 // TestClaimDuty guards against a duty that blocks while the platform works,
