claim: one batch at a time while the platform does not answer

Cause: in an outage, each pause let up to four batches of new claims out, whose claims were refused and had to be freed. In an hour that fills the book, and after the outage the reads of all these entries went before new claims.

After a failure a single batch now shows whether the platform answers again, and one list of rows is read at a time. TestPlatformDown covers the first.

--- a/internal/mesh/claim/batch.go
+++ b/internal/mesh/claim/batch.go
@@ -8,7 +8,7 @@
 
 // flush sends what is due.
 func (b *Book) flush(now time.Time) {
-	for b.inFlight < maxInFlight && !now.Before(b.pausedUntil) && b.send(now) {
+	for b.inFlight < b.limit() && !now.Before(b.pausedUntil) && b.send(now) {
 		b.inFlight++
 	}
 }
@@ -32,7 +32,7 @@
 func (b *Book) sendReads() (sent bool) {
 	batch := &Batch{}
 	var keys []string
-	for len(b.reads) > 0 && len(keys) < maxReads {
+	for !b.reading && len(b.reads) > 0 && len(keys) < maxReads {
 		e := b.reads[0]
 		b.reads = b.reads[1:]
 		if e.stage == done {
@@ -44,6 +44,7 @@
 	if len(keys) == 0 {
 		return false
 	}
+	b.reading = true
 	b.act(Fetch{Batch: batch, Keys: keys})
 	return true
 }
--- a/internal/mesh/claim/book.go
+++ b/internal/mesh/claim/book.go
@@ -92,9 +92,13 @@
 	groups [][]*entry
 	probes []*Batch
 
-	// inFlight is at most maxInFlight.
+	// inFlight is at most limit().
 	inFlight int
 
+	// reading is true while rows of reads are at the platform. One list at a
+	// time leaves room for new claims after an outage.
+	reading bool
+
 	// lingerUntil is when the queue of writes goes out even if it is short.
 	lingerUntil time.Time
 
@@ -144,12 +148,15 @@
 
 // Next returns when the book wants an Elapsed event; zero means not.
 func (b *Book) Next() (at time.Time) {
-	waiting := len(b.reads) + len(b.probes)
+	waiting := len(b.probes)
+	if !b.reading {
+		waiting += len(b.reads)
+	}
 	if !b.floor.reading {
 		waiting += len(b.writes) + len(b.groups)
 	}
 	switch {
-	case waiting == 0 || len(b.entries) == 0 || b.inFlight >= maxInFlight:
+	case waiting == 0 || len(b.entries) == 0 || b.inFlight >= b.limit():
 		return time.Time{}
 	case b.pausedUntil.After(b.lingerUntil):
 		return b.pausedUntil
@@ -158,6 +165,16 @@
 	}
 }
 
+// limit returns how many batches may be at the platform. After a failure a
+// single one shows whether it answers again, so that an outage does not leave
+// claims behind that are written, refused and to be freed.
+func (b *Book) limit() (batches int) {
+	if b.failures > 0 {
+		return 1
+	}
+	return maxInFlight
+}
+
 func (b *Book) act(a Action) { b.out = append(b.out, a) }
 
 func (b *Book) refuse(c *mesh.Call, r *mesh.Refusal) { b.act(Refuse{Call: c, Refusal: r}) }
@@ -447,6 +464,8 @@
 	entries := s.Batch.entries
 	if s.Batch.rest != nil {
 		entries = s.Batch.rest.entries
+	} else if !s.Batch.floor {
+		b.reading = false
 	}
 	for i, row := range s.Rows {
 		b.failures = 0
--- a/internal/mesh/claim/book_test.go
+++ b/internal/mesh/claim/book_test.go
@@ -159,8 +159,13 @@
 	if r, found := actions[0].(Refuse); !found || r.Refusal.Outcome != header.NotRun {
 		t.Errorf("next claim: got %v, want it refused as not run", actions)
 	}
-	if got := b.Next(); !got.Equal(now.Add(firstPause)) {
-		t.Errorf("next: got %v, want %v", got, now.Add(firstPause))
+	now = now.Add(firstPause)
+	if got := b.Next(); !got.Equal(now) {
+		t.Errorf("next: got %v, want %v", got, now)
+	}
+	b.Step(now, Wanted{Call: numberedCall(1000, now), Keep: time.Hour})
+	if actions := b.Step(now.Add(linger), Elapsed{}); len(actions) != 0 || !b.Next().IsZero() {
+		t.Errorf("while the platform is probed: got %v and next %v, want nothing", actions, b.Next())
 	}
 }
 
@@ -260,3 +265,22 @@
 		t.Errorf("got %d transactions that delete, want at most %d", p.deletes, want)
 	}
 }
+
+// BenchmarkBook measures the book alone, with full batches.
+func BenchmarkBook(b *testing.B) {
+	now := exploreStart
+	book := readyBook(now)
+	calls := make([]*mesh.Call, b.N)
+	for i := range calls {
+		calls[i] = numberedCall(uint32(i), now)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for _, c := range calls {
+		for _, a := range book.Step(now, Wanted{Call: c, Keep: time.Hour}) {
+			if commit, found := a.(Commit); found {
+				book.Step(now, Written{Batch: commit.Batch})
+			}
+		}
+	}
+}
--- a/internal/mesh/claim/explore_test.go
+++ b/internal/mesh/claim/explore_test.go
@@ -283,6 +283,7 @@
 				w.floating = append(w.floating, a.Writes)
 				return Written{Batch: a.Batch, Err: mesh.ErrPlatformUnavailable}
 			}), "write is delayed")
+			add(end(func() mesh.Event { w.faults--; w.settle(a.Writes); return Unsent{Batch: a.Batch} }), "write is not sent")
 		}
 	case Fetch:
 		add(end(func() mesh.Event {
