node: test claims of two nodes over HTTP with lost answers

Guards the path through the platform's HTTP client, whose conflicts and versions the fakes do not cover. Each of 400 requests goes to two nodes; each must get exactly one grant while 40 answers are lost.

A connection that held an answer to no request now says not run when no byte of the request was written to it, and unknown otherwise.

--- a/internal/mesh/node/carry.go
+++ b/internal/mesh/node/carry.go
@@ -107,7 +107,7 @@
 	response, err = transport.RoundTrip(request.WithContext(ctx))
 	if err == nil && used.crossed.Load() {
 		response.Body.Close()
-		return nil, true, errCrossed
+		return nil, used.wrote(), errCrossed
 	}
 	if err == nil {
 		return response, true, nil
--- a/internal/mesh/node/claim_test.go
+++ b/internal/mesh/node/claim_test.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"fmt"
 	"io"
+	"log"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
@@ -207,6 +208,43 @@
 	})
 }
 
+// TestClaimsOverHTTP guards against a request that two nodes both run, or none,
+// when answers of the platform are lost on the way.
+func TestClaimsOverHTTP(t *testing.T) {
+	platform := stub.New()
+	server := httptest.NewUnstartedServer(platform.Handler())
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	defer server.Close()
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	duties := []*claimDuty{runClaims(ctx, store.New(addr)), runClaims(ctx, store.New(addr))}
+	const requests = 400
+	grants := make([]atomic.Int64, requests)
+	var group sync.WaitGroup
+	for i := range requests {
+		call := newTestCall(20 * time.Second)
+		if i%20 == 0 {
+			platform.SetFaults(stub.Faults{LoseAnswers: 2})
+		}
+		for _, d := range duties {
+			sent := *call
+			group.Go(func() {
+				if d.Claim(ctx, &sent) == nil {
+					grants[i].Add(1)
+				}
+			})
+		}
+	}
+	group.Wait()
+	for i := range grants {
+		if got := grants[i].Load(); got != 1 {
+			t.Errorf("request %d: got %d grants, want 1", i, got)
+		}
+	}
+}
+
 // BenchmarkClaim prints claims a second, and their median and 99th percentile
 // latency, against the stand-in platform with a delay of 5 ms, for different
 // numbers of requests at a time.
