--- a/internal/mesh/node/claim_test.go
+++ b/internal/mesh/node/claim_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"expvar"
 	"fmt"
 	"io"
+	"log"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,9 +113,16 @@
 	return d
 }
 
+var testCalls atomic.Uint64
+
+// newTestCall returns a call with an id of its own. The uuid package never goes
+// back in time, not even for a test whose clock starts earlier.
 func newTestCall(timeout time.Duration) (c *mesh.Call) {
-	id, _ := mesh.NewRequestID()
-	return &mesh.Call{ID: id, Organisation: "org", Route: &mesh.Route{Service: "ledger"}, Deadline: time.Now().Add(timeout)}
+	now := time.Now()
+	c = &mesh.Call{Organisation: "org", Route: &mesh.Route{Service: "ledger"}, Deadline: now.Add(timeout)}
+	binary.BigEndian.PutUint64(c.ID[:8], uint64(now.UnixMilli())<<16)
+	binary.BigEndian.PutUint64(c.ID[8:], testCalls.Add(1))
+	return c
 }
 
 // TestClaimDuty guards against a duty that blocks while the platform works,
@@ -198,6 +208,43 @@
 	})
 }
 
+// TestClaimsOverHTTP guards against a request that two nodes both run, or none,
+// when answers of the platform are lost on the way.
+func TestClaimsOverHTTP(t *testing.T) {
+	platform := stub.New()
+	server := httptest.NewUnstartedServer(platform.Handler())
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	defer server.Close()
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	duties := []*claimDuty{runClaims(ctx, store.New(addr)), runClaims(ctx, store.New(addr))}
+	const requests = 400
+	grants := make([]atomic.Int64, requests)
+	var group sync.WaitGroup
+	for i := range requests {
+		call := newTestCall(20 * time.Second)
+		if i%20 == 0 {
+			platform.SetFaults(stub.Faults{LoseAnswers: 2})
+		}
+		for _, d := range duties {
+			sent := *call
+			group.Go(func() {
+				if d.Claim(ctx, &sent) == nil {
+					grants[i].Add(1)
+				}
+			})
+		}
+	}
+	group.Wait()
+	for i := range grants {
+		if got := grants[i].Load(); got != 1 {
+			t.Errorf("request %d: got %d grants, want 1", i, got)
+		}
+	}
+}
+
 // BenchmarkClaim prints claims a second, and their median and 99th percentile
 // latency, against the stand-in platform with a delay of 5 ms, for different
 // numbers of requests at a time.
