--- a/internal/fault/promise_test.go
+++ b/internal/fault/promise_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
@@ -27,6 +28,7 @@
 	contractCluster
 	insideCluster
 	outageCluster
+	slowCluster
 )
 
 // awaitRefused waits until a request is refused with one of the codes.
@@ -221,6 +223,37 @@
 	c.awaitService()
 }
 
+// TestSlowPlatformLeavesReads guards against requests that wait for the
+// platform and meanwhile hold the slots of a target that others could use.
+func TestSlowPlatformLeavesReads(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, slowCluster)
+	platformFault(stub.Faults{Delay: time.Minute})(c)
+	var payouts sync.WaitGroup
+	var done atomic.Bool
+	for range 40 {
+		payouts.Go(func() {
+			for !done.Load() {
+				// The last ones are recorded once the platform answers again.
+				if r := c.payout(entryHost, newID(t)); r.outcome != header.NotRun && !r.ran {
+					t.Errorf("payout: got %+v, want a refusal as not run", r)
+				}
+			}
+		})
+	}
+	client := &http.Client{Timeout: attemptBound}
+	for range 50 {
+		if code := c.read(client, otherHost); code != "" {
+			t.Errorf("read: got code %q, want an answer", code)
+		}
+		time.Sleep(pollPause)
+	}
+	done.Store(true)
+	platformFault(noFaults)(c)
+	payouts.Wait()
+	c.awaitService()
+}
+
 // awaitRead waits until an idempotent request is served.
 func (c *cluster) awaitRead(host int) {
 	c.t.Helper()
--- a/internal/mesh/node/outcome_test.go
+++ b/internal/mesh/node/outcome_test.go
@@ -574,7 +574,11 @@
 		targets: &targetClient{transport: newTransport(0), signer: signer},
 	}
 	go func() { _ = f.calls.Run(ctx) }()
-	_, _, refusal := f.deliver(ctx, target.addr(), admission{}, newTestCall(time.Second), &mesh.Payload{Method: http.MethodPost, Path: "/pay", Header: http.Header{}})
+	go func() { _ = f.gate.Run(ctx) }()
+	if err := f.gate.Open(ctx, mesh.Target{Service: "ledger", Addr: target.addr(), Slots: 1, Connections: 1, Incarnation: 1}); err != nil {
+		t.Fatal(err)
+	}
+	_, _, refusal := f.serve(ctx, target.addr(), newTestCall(time.Second), &mesh.Payload{Method: http.MethodPost, Path: "/pay", Header: http.Header{}})
 	if refusal == nil || refusal.Outcome != header.NotRun || refusal.Code != header.KeyWithdrawn || target.total != 0 || claimer.released != 1 {
 		t.Errorf("got %v, taken %d times, released %d times, want it refused, not taken and released", refusal, target.total, claimer.released)
 	}
--- a/internal/mesh/node/serve.go
+++ b/internal/mesh/node/serve.go
@@ -15,23 +15,39 @@
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
+// claimMargin is the part of the remaining time that a claim leaves for the
+// work, or for a refusal to reach the caller before the deadline.
+const claimMargin = 0.25
+
 // serve runs a call at a target of this host. It returns what is left of the
-// call's retry budget.
+// call's retry budget. The claim comes before the gate, so that a call that
+// waits for the platform holds no slot of the target.
 func (f *front) serve(ctx context.Context, target netip.AddrPort, call *mesh.Call, payload *mesh.Payload) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
-	if refusal := f.takesWork(); refusal != nil {
-		return nil, call.Attempts, refusal
+	if refusal = f.takesWork(); refusal == nil {
+		refusal = f.stillValid(call)
+	}
+	if refusal == nil {
+		refusal = f.claim(ctx, call)
 	}
-	admitted, refusal := f.gate.Enter(ctx, target, call)
 	if refusal != nil {
 		return nil, call.Attempts, refusal
 	}
-	answer, left, refusal = f.deliver(ctx, target, admitted, call, payload)
-	if refusal != nil {
-		return nil, left, refusal
+	answer, left, refusal = f.deliver(ctx, target, call, payload)
+	if refusal != nil && refusal.Outcome == header.NotRun {
+		f.release(call)
 	}
-	answer.Load = admitted.load
-	answer.Level = min(answer.Level, admitted.level)
-	return answer, left, nil
+	return answer, left, refusal
+}
+
+// claim records a call that must not run twice.
+func (f *front) claim(ctx context.Context, call *mesh.Call) (refusal *mesh.Refusal) {
+	if call.Route.Idempotent {
+		return nil
+	}
+	margin := time.Duration(claimMargin * float64(call.Remaining(time.Now())))
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(-margin))
+	defer cancel()
+	return f.claims.Claim(ctx, call)
 }
 
 // takesWork refuses new work for targets of a host that is on its way out.
@@ -46,26 +62,23 @@
 	return nil
 }
 
-// deliver sends an admitted call to the target and takes in its answer. The
-// gate learns how it ended before a claim is released, since the release waits
-// for the platform.
-func (f *front) deliver(ctx context.Context, target netip.AddrPort, admitted admission, call *mesh.Call, payload *mesh.Payload) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
-	if refusal = f.stillValid(call); refusal == nil && !call.Route.Idempotent {
-		refusal = f.claims.Claim(ctx, call)
-	}
+// deliver waits until the target takes the call and runs it.
+func (f *front) deliver(ctx context.Context, target netip.AddrPort, call *mesh.Call, payload *mesh.Payload) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
+	admitted, refusal := f.gate.Enter(ctx, target, call)
 	if refusal != nil {
-		f.gate.Leave(target, gate.Finished{Ticket: admitted.ticket, NotRun: true})
 		return nil, call.Attempts, refusal
 	}
 	answer, left, refusal = f.run(ctx, target, admitted, call, payload)
-	if refusal != nil && refusal.Outcome == header.NotRun {
-		f.release(call)
+	if refusal != nil {
+		return nil, left, refusal
 	}
-	return answer, left, refusal
+	answer.Load = admitted.load
+	answer.Level = min(answer.Level, admitted.level)
+	return answer, left, nil
 }
 
-// run sends a claimed call to the target, unless it became invalid while it was
-// claimed.
+// run sends an admitted call to the target, unless it became invalid while it
+// waited.
 func (f *front) run(ctx context.Context, target netip.AddrPort, admitted admission, call *mesh.Call, payload *mesh.Payload) (answer *mesh.Answer, left int, refusal *mesh.Refusal) {
 	var token calls.Token
 	if refusal = f.stillValid(call); refusal == nil {
