node: root digests and failure tests of membership and the leave sequence

Cause: a node that left refused work before others knew, never told anyone that it had gone, and a listener that failed to open left the others open. No test showed what targets and callers see when a process dies, pauses or stops.

The first runs of the process tests found that a host killed before its first heartbeat was suspect only after 10 s; it is 5 s now, with a test. Two faults of the tests were found by repeated runs: ports held by processes that were just starting, and nodes that outlived their test and reached the platform of the next. Ruled out for them: longer waits, which hide both.

--- a/internal/mesh/node/roster_send.go
+++ b/internal/mesh/node/roster_send.go
@@ -110,32 +110,41 @@
 // To implements mesh.Message.
 func (m compareHosts) To() (addr netip.AddrPort) { return m.to }
 
-// Send implements mesh.Message.
+// Send implements mesh.Message. It compares roots first and buckets only when
+// those differ.
 func (m compareHosts) Send(ctx context.Context) (err error) {
 	defer annotate(&err, "compare hosts")
-	digests := &wire.TableDigests{Sender: fromSender(m.duty.sender()), Digests: m.duty.View().Digests()}
-	difference, err := m.duty.peer(m.to).Compare(ctx, digests)
-	if err != nil {
+	v := m.duty.View()
+	difference, _, err := m.ask(ctx, &wire.TableDigests{Root: v.Root()})
+	if err != nil || !difference.GetDiffers() {
 		return err
 	}
-	from, err := m.duty.answered(difference.GetReceipt())
+	full, from, err := m.ask(ctx, &wire.TableDigests{Root: v.Root(), Digests: v.Digests()})
 	if err != nil {
 		return err
 	}
-	rows, err := wire.ToRows(difference.GetHosts(), time.Now())
+	rows, err := wire.ToRows(full.GetHosts(), time.Now())
 	if err != nil {
 		return err
 	}
-	c := roster.Compared{From: from, Rows: rows, More: difference.GetMore()}
-	for _, b := range difference.GetBuckets() {
+	c := roster.Compared{From: from, Rows: rows, More: full.GetMore()}
+	for _, b := range full.GetBuckets() {
 		c.Buckets = append(c.Buckets, int(b))
 	}
-	if len(c.Buckets) > 0 {
-		m.duty.events.Offer(c)
-	}
+	m.duty.events.Offer(c)
 	return nil
 }
 
+func (m compareHosts) ask(ctx context.Context, digests *wire.TableDigests) (difference *wire.TableDifference, from roster.Sender, err error) {
+	digests.Sender = fromSender(m.duty.sender())
+	difference, err = m.duty.peer(m.to).Compare(ctx, digests)
+	if err != nil {
+		return nil, from, err
+	}
+	from, err = m.duty.answered(difference.GetReceipt())
+	return difference, from, err
+}
+
 func annotate(err *error, what string) {
 	if *err != nil {
 		*err = fmt.Errorf("%s: %w", what, *err)
--- a/internal/mesh/node/roster_serve.go
+++ b/internal/mesh/node/roster_serve.go
@@ -45,8 +45,13 @@
 		return nil, err
 	}
 	d.events.Offer(roster.Heard{From: from})
-	buckets, rows, more := d.View().Differing(m.GetDigests(), rand.IntN(roster.BucketCount))
-	t = &wire.TableDifference{Receipt: d.receipt(from), Hosts: wire.FromRows(rows, time.Now()), More: more}
+	v := d.View()
+	t = &wire.TableDifference{Receipt: d.receipt(from), Differs: m.GetRoot() != v.Root()}
+	if len(m.GetDigests()) == 0 {
+		return t, nil
+	}
+	buckets, rows, more := v.Differing(m.GetDigests(), rand.IntN(roster.BucketCount))
+	t.Hosts, t.More = wire.FromRows(rows, time.Now()), more
 	for _, b := range buckets {
 		t.Buckets = append(t.Buckets, uint32(b))
 	}
--- /dev/null
+++ b/internal/mesh/node/roster_test.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"expvar"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
+)
+
+// targetWork is how long a request takes, so that some are in flight whenever
+// something happens.
+const targetWork = 100 * time.Millisecond
+
+// TestLeaveCutsNothing guards against a planned stop that cuts off a request,
+// leaves one in doubt or leaves the row of the host behind.
+func TestLeaveCutsNothing(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t)
+	stays, leaves, third := newHost(t, p, 11), newHost(t, p, 12), newHost(t, p, 13)
+	for _, h := range []*testHost{stays, leaves, third} {
+		h.startHere(t, p)
+		h.startTarget(t, targetWork)
+	}
+	stays.waitHosts(t, "alive", 3)
+	s, own := startStream(t, stays.CallerListen), startStream(t, leaves.CallerListen)
+	s.waitRan(t, 50)
+	waitFor(t, "platform rows", func() bool { return strings.Count(p.hostRows(t), "hosts/north/") == 3 })
+	leaves.stop()
+	if err := <-leaves.done; err != nil {
+		t.Errorf("run of the leaving node: got %v, want no error", err)
+	}
+	s.waitRan(t, 50)
+	s.end(t, stays, leaves, third)
+	own.end(t, stays, leaves, third)
+	s.wantWhole(t)
+	own.wantWhole(t)
+	stays.waitHosts(t, "left", 1)
+	third.waitHosts(t, "left", 1)
+	if got := p.hostRows(t); strings.Contains(got, leaves.PeerListen.String()) {
+		t.Errorf("platform rows: got %q, want none of %s", got, leaves.PeerListen)
+	}
+}
+
+// TestFailedListenerEndsNode guards against a node that hangs with some of its
+// listeners gone, or that keeps ports after it failed to start.
+//
+// It does not run in parallel: a process that another test starts holds the
+// ports that this one closes until it has loaded its program.
+func TestFailedListenerEndsNode(t *testing.T) {
+	p := newPlatform(t)
+	h := newHost(t, p, 14)
+	taken, err := net.Listen("tcp", h.LocalListen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.startHere(t, p)
+	if err := <-h.done; err == nil {
+		t.Error("start with a port taken: got no error")
+	}
+	_ = taken.Close()
+	h.startHere(t, p)
+	h.waitHosts(t, "alive", 1)
+	_ = h.node.servers[1].listener.Close()
+	select {
+	case err := <-h.done:
+		if err == nil {
+			t.Error("listener failed: got no error")
+		}
+	case <-time.After(waitBound):
+		t.Fatalf("listener failed: the node still runs after %v", waitBound)
+	}
+}
+
+// TestKilledNode guards against callers that are sent to a host that was
+// killed, and against answers that claim more than is known.
+func TestKilledNode(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t)
+	hosts := startProcesses(t, p, 21, 22, 23)
+	s := startStream(t, hosts[0].CallerListen)
+	s.waitRan(t, 50)
+	hosts[2].signal(t, syscall.SIGKILL)
+	hosts[0].waitHosts(t, "suspect", 1)
+	hosts[1].waitHosts(t, "suspect", 1)
+	unknown := s.count("unknown answer-lost")
+	s.waitRan(t, 50)
+	if got := s.count("unknown answer-lost"); got != unknown {
+		t.Errorf("answers lost after the host was suspect: got %d more, want none", got-unknown)
+	}
+	hosts[2].startProcess(t)
+	hosts[0].waitHosts(t, "alive", 3)
+	hosts[2].waitHosts(t, "alive", 3)
+	s.waitRan(t, 50)
+	s.end(t, hosts...)
+}
+
+// TestPausedNode guards against a host that stays suspect after a pause, that
+// declares the others suspect, or that runs what expired during the pause.
+func TestPausedNode(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t)
+	hosts := startProcesses(t, p, 31, 32, 33)
+	s := startStream(t, hosts[0].CallerListen)
+	s.waitRan(t, 50)
+	hosts[2].signal(t, syscall.SIGSTOP)
+	hosts[0].waitHosts(t, "suspect", 1)
+	hosts[1].waitHosts(t, "suspect", 1)
+	s.waitRan(t, 50)
+	hosts[2].signal(t, syscall.SIGCONT)
+	for _, h := range hosts {
+		h.waitHosts(t, "alive", 3)
+	}
+	ran := len(hosts[2].target.Executions())
+	waitFor(t, "work for the host that came back", func() bool { return len(hosts[2].target.Executions()) > ran })
+	s.end(t, hosts...)
+}
+
+// TestStartWithoutPlatform guards against a node that gives up, polls in a
+// loop or does not find the others when it starts during an outage.
+func TestStartWithoutPlatform(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t)
+	hosts := startProcesses(t, p, 41, 42)
+	p.SetFaults(stub.Faults{Down: true})
+	named, unnamed := newHost(t, p, 43, hosts[0].PeerListen), newHost(t, p, 44)
+	named.startProcess(t)
+	unnamed.startProcess(t)
+	named.waitHosts(t, "alive", 3)
+	unnamed.waitHosts(t, "alive", 1)
+	p.SetFaults(stub.Faults{})
+	for _, h := range []*testHost{hosts[0], hosts[1], named, unnamed} {
+		h.waitHosts(t, "alive", 4)
+	}
+}
+
+// TestTerminatedUnderLoad guards against a process that stops on SIGTERM with
+// requests in flight, also while the platform is down.
+func TestTerminatedUnderLoad(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t)
+	hosts := startProcesses(t, p, 51, 52, 53)
+	s, own := startStream(t, hosts[0].CallerListen), startStream(t, hosts[2].CallerListen)
+	s.waitRan(t, 50)
+	hosts[2].signal(t, syscall.SIGTERM)
+	if err := <-hosts[2].done; err != nil {
+		t.Errorf("process: got %v, want exit without an error", err)
+	}
+	s.waitRan(t, 50)
+	s.end(t, hosts...)
+	own.end(t, hosts...)
+	s.wantWhole(t)
+	own.wantWhole(t)
+	hosts[0].waitHosts(t, "left", 1)
+	p.SetFaults(stub.Faults{Down: true})
+	hosts[1].signal(t, syscall.SIGTERM)
+	if err := <-hosts[1].done; err != nil {
+		t.Errorf("process during an outage: got %v, want exit without an error", err)
+	}
+}
+
+// startProcesses starts nodes with a target each and waits until they know
+// each other.
+func startProcesses(t *testing.T, p *fakePlatform, numbers ...int) (hosts []*testHost) {
+	t.Helper()
+	for _, i := range numbers {
+		h := newHost(t, p, i)
+		h.startProcess(t)
+		h.startTarget(t, targetWork)
+		hosts = append(hosts, h)
+	}
+	for _, h := range hosts {
+		h.waitHosts(t, "alive", len(hosts))
+	}
+	return hosts
+}
+
+// TestPlatformRow guards against a row that a lost answer or a late delete
+// leaves wrong: a later life of a host keeps its row.
+func TestPlatformRow(t *testing.T) {
+	p := newPlatform(t)
+	d := ring.New(new(expvar.Map), "test", 8)
+	first := mesh.Host{Addr: freePort(t, "127.0.1.61"), Zone: "north", Incarnation: 1}
+	second := first
+	second.Incarnation = 2
+	p.SetFaults(stub.Faults{LoseAnswers: 1})
+	writeHost{events: d, host: first}.Do(t.Context(), p.client)
+	writeHost{events: d, host: first}.Do(t.Context(), p.client)
+	writeHost{events: d, host: second}.Do(t.Context(), p.client)
+	eraseHost{events: d, host: first}.Do(t.Context(), p.client)
+	if got := p.hostRows(t); !strings.Contains(got, first.Addr.String()) {
+		t.Errorf("rows after the delete of an older life: got %q, want that of %s", got, first.Addr)
+	}
+	p.SetFaults(stub.Faults{LoseAnswers: 1})
+	eraseHost{events: d, host: second}.Do(t.Context(), p.client)
+	if got := p.hostRows(t); got != "" {
+		t.Errorf("rows after the delete: got %q, want none", got)
+	}
+}
--- a/internal/mesh/roster/roster_test.go
+++ b/internal/mesh/roster/roster_test.go
@@ -23,6 +23,16 @@
 	f.check(t, "after endedKeep", 5, "none", 1, 2, 3, 4)
 }
 
+// TestHostKilledAtItsStart guards against a host that is killed before its
+// first heartbeat and gets work for longer than a few seconds.
+func TestHostKilledAtItsStart(t *testing.T) {
+	f := newFleet(north, north, north)
+	f.step(addrOf(3), Elapsed{})
+	f.stopped[addrOf(3)] = true
+	f.run(8)
+	f.check(t, "killed at its start", 3, "suspect", 1, 2)
+}
+
 // TestPausedHostComesBack guards against a host that stays suspect after a
 // pause, or that comes back in the incarnation that others hold for suspect.
 func TestPausedHostComesBack(t *testing.T) {
@@ -74,7 +84,9 @@
 	for of := 2; of <= 5; of++ {
 		f.check(t, "isolated", of, "alive", 1)
 	}
-	f.lost = func(from, to netipAddr) bool { return indexOf(from)*indexOf(to) > 2 && (from == addrOf(1) || to == addrOf(1)) }
+	f.lost = func(from, to netipAddr) bool {
+		return indexOf(from)*indexOf(to) > 2 && (from == addrOf(1) || to == addrOf(1))
+	}
 	f.run(2)
 	for of := 2; of <= 5; of++ {
 		f.check(t, "joined again by one link", of, "alive", 1)
--- a/internal/mesh/roster/view.go
+++ b/internal/mesh/roster/view.go
@@ -130,6 +130,14 @@
 	return slices.DeleteFunc(slices.Clone(all), isOut)
 }
 
+// Root returns the digest of the whole table.
+func (v *View) Root() (digest uint64) {
+	for i := range v.buckets {
+		digest ^= v.buckets[i].digest
+	}
+	return digest
+}
+
 // Digests returns the digest of each bucket.
 func (v *View) Digests() (digests []uint64) {
 	digests = make([]uint64, BucketCount)
--- a/internal/mesh/roster/watch.go
+++ b/internal/mesh/roster/watch.go
@@ -14,8 +14,9 @@
 	watcherCount = 3
 
 	// firstTime is how long a watcher waits for the first heartbeat of a host.
-	// The host may know an older table for a while and send to others.
-	firstTime = 10 * time.Second
+	// The host may know an older table for a while and send to others; with
+	// 10 s a host killed just after its start got work for too long.
+	firstTime = 5 * time.Second
 
 	// isolationTime is the silence of all other hosts after which a watcher
 	// looks for the fault in its own link.
--- /dev/null
+++ b/internal/mesh/wire/roster_test.go
@@ -0,0 +1,109 @@
+package wire_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/roster"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func rowOf(i int) (r roster.Row) {
+	ip := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+	return roster.Row{Host: mesh.Host{
+		Addr: netip.AddrPortFrom(ip, 8080), Zone: mesh.ZoneName("ee-north-" + string(rune('a'+i%11))),
+		Incarnation: mesh.NewIncarnation(start) + mesh.Incarnation(i),
+		Targets: []mesh.Target{{
+			Service: mesh.ServiceName("settlement-" + string(rune('a'+i%190))), Addr: netip.AddrPortFrom(ip, 9000),
+			Slots: 180, Connections: 1200, Incarnation: mesh.NewIncarnation(start),
+		}},
+	}}
+}
+
+func rowsOf(n int) (rows []roster.Row) {
+	for i := range n {
+		rows = append(rows, rowOf(i))
+	}
+	return rows
+}
+
+// TestRowRoundTrip guards against a part of a row, or the age of its end, that
+// is lost between hosts.
+func TestRowRoundTrip(t *testing.T) {
+	want := rowOf(1)
+	want.Host.State, want.Host.Revision, want.Ended = mesh.HostSuspect, 3, start
+	received := start.Add(time.Hour)
+	got, err := wire.ToRow(wire.FromRow(want, start.Add(time.Minute)), received)
+	want.Ended = received.Add(-time.Minute)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v, %v, want %v", got, err, want)
+	}
+}
+
+// TestRowRejected guards against a row with an address or a state that does not
+// exist.
+func TestRowRejected(t *testing.T) {
+	for name, change := range map[string]func(*wire.HostRow){
+		"no address":      func(r *wire.HostRow) { r.Addr = nil },
+		"short address":   func(r *wire.HostRow) { r.Addr = r.Addr[:3] },
+		"target address":  func(r *wire.HostRow) { r.Targets[0].Addr = []byte{1} },
+		"state of future": func(r *wire.HostRow) { r.State = 9 },
+	} {
+		m := wire.FromRow(rowOf(1), start)
+		change(m)
+		if _, err := wire.ToRow(m, start); err == nil {
+			t.Errorf("%s: got no error", name)
+		}
+	}
+}
+
+// filled returns a state that knows n hosts.
+func filled(n int) (s *roster.State) {
+	s = roster.New(start, rowOf(n).Host, rand.New(rand.NewPCG(1, 1)))
+	rows := rowsOf(n)
+	for len(rows) > 0 {
+		part := rows[:min(len(rows), 256)]
+		rows = rows[len(part):]
+		s.Step(start, roster.Compared{From: roster.Sender{Host: part[0].Host.Addr}, Rows: part})
+	}
+	return s
+}
+
+// TestFigures prints what membership costs by the size of the table.
+func TestFigures(t *testing.T) {
+	sender := &wire.Sender{Host: "10.0.29.76:8080", Incarnation: uint64(mesh.NewIncarnation(start))}
+	receipt := proto.Size(&wire.Receipt{Sender: sender})
+	beat := proto.Size(&wire.Heartbeat{Sender: sender})
+	row := proto.Size(wire.FromRow(rowOf(7000), start))
+	t.Logf("bytes: row %d, heartbeat %d, receipt %d", row, beat, receipt)
+	for _, n := range []int{50, 500, 7500} {
+		s := filled(n)
+		compare := proto.Size(&wire.TableDigests{Sender: sender, Root: s.View().Root()})
+		digests := s.View().Digests()
+		digests[5]++
+		_, rows, _ := s.View().Differing(digests, 0)
+		bucket := proto.Size(&wire.TableDifference{Hosts: wire.FromRows(rows, start)})
+		// Each second a host sends three heartbeats and one comparison and
+		// receives as many; it also answers them and gets answers.
+		idle := 2 * (3*(beat+receipt) + compare + receipt)
+		push := proto.Size(&wire.HostRows{Sender: sender, Hosts: []*wire.HostRow{wire.FromRow(rowOf(1), start)}}) + receipt
+		t.Logf("hosts %d: idle 8 messages and %d B a second both ways; one change: 6 pushes of %d B; a differing bucket: %d rows, %d B", n, idle, push, len(rows), bucket)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	s := filled(7500)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	t.Logf("memory of 7,500 hosts: %d KB", (after.HeapAlloc-before.HeapAlloc)>>10)
+	runtime.KeepAlive(s)
+}
