node: requests are in flight whenever a test stops a host

Cause: with listeners closed at once instead of after what is in flight, all tests of the leave sequence passed, since requests took 100 ms and were over by then. The host that fails or leaves now has a target that takes 1.5 s, above the leave time of 1 s, and the tests wait until it has begun a request.

Ruled out: more load, which makes requests in flight likelier but not certain.

--- a/internal/mesh/node/roster_fleet_test.go
+++ b/internal/mesh/node/roster_fleet_test.go
@@ -33,6 +33,9 @@
 // seconds. No test asserts a shorter time.
 const waitBound = 10 * time.Second
 
+// testLeaveTime is the leave time of test hosts.
+const testLeaveTime = time.Second
+
 const testTree = `
 settings: {timeout: 5s, retries: 3, open: true}
 zones: {north: {region: luzon}}
@@ -120,7 +123,7 @@
 	ip := fmt.Sprintf("127.0.1.%d", i)
 	return &testHost{Settings: Settings{
 		Zone: "north", CallerListen: freePort(t, ip), LocalListen: freePort(t, ip), PeerListen: freePort(t, ip),
-		Platform: p.addr, Peers: peers, Secrets: []string{"0123456789abcdef0123456789abcdef"}, LeaveTime: 2 * time.Second,
+		Platform: p.addr, Peers: peers, Secrets: []string{"0123456789abcdef0123456789abcdef"}, LeaveTime: testLeaveTime,
 	}}
 }
 
@@ -238,6 +241,13 @@
 	waitFor(t, fmt.Sprintf("%s knows %d hosts as %s", h.PeerListen, want, state), func() bool { return h.hosts()[state] == want })
 }
 
+// waitWork waits until the target of the host has begun another request.
+func (h *testHost) waitWork(t *testing.T) {
+	t.Helper()
+	before := len(h.target.Executions())
+	waitFor(t, "a request at "+h.PeerListen.String(), func() bool { return len(h.target.Executions()) > before })
+}
+
 // stream sends requests to one node without a pause and keeps the answers.
 type stream struct {
 	to      netip.AddrPort
@@ -254,7 +264,13 @@
 	ids map[header.OutcomeValue][]string
 }
 
-const streamWorkers = 8
+const (
+	streamWorkers = 8
+
+	// retryPause is how long a caller waits after a refusal, as they come
+	// before the targets have announced themselves.
+	retryPause = 20 * time.Millisecond
+)
 
 func startStream(t *testing.T, to netip.AddrPort) (s *stream) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -285,18 +301,26 @@
 		defer response.Body.Close()
 		_, err = io.ReadAll(response.Body)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if err != nil {
-		s.outcomes["cut"]++
+		s.record("cut", "", "")
 		return true
 	}
-	outcome := header.OutcomeValue(response.Header.Get(header.Outcome))
-	s.outcomes[strings.TrimSpace(string(outcome)+" "+response.Header.Get(header.Code))]++
-	s.ids[outcome] = append(s.ids[outcome], response.Header.Get(header.RequestID))
+	h := response.Header
+	outcome := header.OutcomeValue(h.Get(header.Outcome))
+	s.record(outcome, h.Get(header.Code), h.Get(header.RequestID))
+	if outcome != header.Ran {
+		time.Sleep(retryPause)
+	}
 	return !response.Close
 }
 
+func (s *stream) record(outcome header.OutcomeValue, code, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes[strings.TrimSpace(string(outcome)+" "+code)]++
+	s.ids[outcome] = append(s.ids[outcome], id)
+}
+
 func (s *stream) count(outcome string) (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/mesh/node/roster_test.go
+++ b/internal/mesh/node/roster_test.go
@@ -13,9 +13,14 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
 )
 
-// targetWork is how long a request takes, so that some are in flight whenever
-// something happens.
-const targetWork = 100 * time.Millisecond
+const (
+	// targetWork is how long a request takes.
+	targetWork = 100 * time.Millisecond
+
+	// slowWork is how long it takes at the host that fails or leaves. It is
+	// above testLeaveTime, so that some are in flight when listeners close.
+	slowWork = 1500 * time.Millisecond
+)
 
 // TestLeaveCutsNothing guards against a planned stop that cuts off a request,
 // leaves one in doubt or leaves the row of the host behind.
@@ -23,19 +28,22 @@
 	t.Parallel()
 	p := newPlatform(t)
 	stays, leaves, third := newHost(t, p, 11), newHost(t, p, 12), newHost(t, p, 13)
-	for _, h := range []*testHost{stays, leaves, third} {
+	for _, h := range []*testHost{stays, third, leaves} {
 		h.startHere(t, p)
-		h.startTarget(t, targetWork)
 	}
+	stays.startTarget(t, targetWork)
+	third.startTarget(t, targetWork)
+	leaves.startTarget(t, slowWork)
 	stays.waitHosts(t, "alive", 3)
 	s, own := startStream(t, stays.CallerListen), startStream(t, leaves.CallerListen)
-	s.waitRan(t, 50)
+	s.waitRan(t, 30)
 	waitFor(t, "platform rows", func() bool { return strings.Count(p.hostRows(t), "hosts/north/") == 3 })
+	leaves.waitWork(t)
 	leaves.stop()
 	if err := <-leaves.done; err != nil {
 		t.Errorf("run of the leaving node: got %v, want no error", err)
 	}
-	s.waitRan(t, 50)
+	s.waitRan(t, 30)
 	s.end(t, stays, leaves, third)
 	own.end(t, stays, leaves, third)
 	s.wantWhole(t)
@@ -84,19 +92,20 @@
 	p := newPlatform(t)
 	hosts := startProcesses(t, p, 21, 22, 23)
 	s := startStream(t, hosts[0].CallerListen)
-	s.waitRan(t, 50)
+	s.waitRan(t, 30)
+	hosts[2].waitWork(t)
 	hosts[2].signal(t, syscall.SIGKILL)
 	hosts[0].waitHosts(t, "suspect", 1)
 	hosts[1].waitHosts(t, "suspect", 1)
 	unknown := s.count("unknown answer-lost")
-	s.waitRan(t, 50)
+	s.waitRan(t, 30)
 	if got := s.count("unknown answer-lost"); got != unknown {
 		t.Errorf("answers lost after the host was suspect: got %d more, want none", got-unknown)
 	}
 	hosts[2].startProcess(t)
 	hosts[0].waitHosts(t, "alive", 3)
 	hosts[2].waitHosts(t, "alive", 3)
-	s.waitRan(t, 50)
+	s.waitRan(t, 30)
 	s.end(t, hosts...)
 }
 
@@ -107,17 +116,17 @@
 	p := newPlatform(t)
 	hosts := startProcesses(t, p, 31, 32, 33)
 	s := startStream(t, hosts[0].CallerListen)
-	s.waitRan(t, 50)
+	s.waitRan(t, 30)
+	hosts[2].waitWork(t)
 	hosts[2].signal(t, syscall.SIGSTOP)
 	hosts[0].waitHosts(t, "suspect", 1)
 	hosts[1].waitHosts(t, "suspect", 1)
-	s.waitRan(t, 50)
+	s.waitRan(t, 30)
 	hosts[2].signal(t, syscall.SIGCONT)
 	for _, h := range hosts {
 		h.waitHosts(t, "alive", 3)
 	}
-	ran := len(hosts[2].target.Executions())
-	waitFor(t, "work for the host that came back", func() bool { return len(hosts[2].target.Executions()) > ran })
+	hosts[2].waitWork(t)
 	s.end(t, hosts...)
 }
 
@@ -146,12 +155,13 @@
 	p := newPlatform(t)
 	hosts := startProcesses(t, p, 51, 52, 53)
 	s, own := startStream(t, hosts[0].CallerListen), startStream(t, hosts[2].CallerListen)
-	s.waitRan(t, 50)
+	s.waitRan(t, 30)
+	hosts[2].waitWork(t)
 	hosts[2].signal(t, syscall.SIGTERM)
 	if err := <-hosts[2].done; err != nil {
 		t.Errorf("process: got %v, want exit without an error", err)
 	}
-	s.waitRan(t, 50)
+	s.waitRan(t, 30)
 	s.end(t, hosts...)
 	own.end(t, hosts...)
 	s.wantWhole(t)
@@ -164,16 +174,20 @@
 	}
 }
 
-// startProcesses starts nodes with a target each and waits until they know
-// each other.
+// startProcesses starts nodes with a target each, the last one slow, and waits
+// until they know each other.
 func startProcesses(t *testing.T, p *fakePlatform, numbers ...int) (hosts []*testHost) {
 	t.Helper()
 	for _, i := range numbers {
 		h := newHost(t, p, i)
 		h.startProcess(t)
-		h.startTarget(t, targetWork)
 		hosts = append(hosts, h)
 	}
+	last := len(hosts) - 1
+	for _, h := range hosts[:last] {
+		h.startTarget(t, targetWork)
+	}
+	hosts[last].startTarget(t, slowWork)
 	for _, h := range hosts {
 		h.waitHosts(t, "alive", len(hosts))
 	}
--- a/internal/mesh/wire/roster_test.go
+++ b/internal/mesh/wire/roster_test.go
@@ -96,7 +96,7 @@
 		// receives as many; it also answers them and gets answers.
 		idle := 2 * (3*(beat+receipt) + compare + receipt)
 		push := proto.Size(&wire.HostRows{Sender: sender, Hosts: []*wire.HostRow{wire.FromRow(rowOf(1), start)}}) + receipt
-		t.Logf("hosts %d: idle 8 messages and %d B a second both ways; one change: 6 pushes of %d B; a differing bucket: %d rows, %d B", n, idle, push, len(rows), bucket)
+		t.Logf("hosts %d: idle 8 messages and %d B a second both ways; one change: 3 pushes sent and 3 received, %d B each; a differing bucket: %d rows, %d B", n, idle, push, len(rows), bucket)
 	}
 	var before, after runtime.MemStats
 	runtime.GC()
