--- a/internal/mesh/config/acks.go
+++ b/internal/mesh/config/acks.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"iter"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -24,7 +26,7 @@
 // number is about the square root of the number of hosts: with n hosts that
 // report to the pollers directly, a poller would receive n messages for each
 // version, which is 13 KB/s for 680 hosts and 3,600 versions a day.
-func NewCollectors(zone mesh.ZoneName, hosts map[netip.AddrPort]mesh.Host) (c Collectors) {
+func NewCollectors(zone mesh.ZoneName, hosts iter.Seq2[netip.AddrPort, mesh.Host]) (c Collectors) {
 	scores := make(map[netip.AddrPort]uint64)
 	for addr, h := range hosts {
 		if h.Zone == zone && h.State == mesh.HostAlive {
@@ -142,14 +144,11 @@
 
 // Coverage returns how far the newest version has come in a zone. It forgets
 // hosts that have left.
-func (a *Acks) Coverage(zone mesh.ZoneName, newest uint64, hosts map[netip.AddrPort]mesh.Host) (c Coverage) {
-	for addr := range a.hosts {
-		if _, found := hosts[addr]; !found {
-			delete(a.hosts, addr)
-		}
-	}
+func (a *Acks) Coverage(zone mesh.ZoneName, newest uint64, hosts iter.Seq2[netip.AddrPort, mesh.Host]) (c Coverage) {
 	c.InForce = newest
+	known := make(map[netip.AddrPort]bool, len(a.hosts))
 	for addr, h := range hosts {
+		known[addr] = true
 		switch {
 		case h.Zone != zone || h.State == mesh.HostLeft:
 		case h.State == mesh.HostSuspect:
@@ -159,6 +158,7 @@
 		}
 	}
 	slices.SortFunc(c.Pending, netip.AddrPort.Compare)
+	maps.DeleteFunc(a.hosts, func(addr netip.AddrPort, _ ack) bool { return !known[addr] })
 	return c
 }
 
--- a/internal/mesh/config/change_test.go
+++ b/internal/mesh/config/change_test.go
@@ -81,7 +81,7 @@
 		{"new life without a version", Acked{Host: hostAddr(0), Incarnation: 6, Version: 0}, 0, []netip.AddrPort{hostAddr(0)}},
 	} {
 		a.Take(c.acked)
-		got := a.Coverage("a", 7, hosts)
+		got := a.Coverage("a", 7, maps.All(hosts))
 		if got.InForce != c.inForce || !slices.Equal(got.Pending, c.pending) || got.Hosts != 2 || got.Silent != 1 {
 			t.Errorf("%s: got %+v, want version %d in force, pending %v, 2 hosts, 1 silent", c.name, got, c.inForce, c.pending)
 		}
@@ -97,7 +97,7 @@
 	for i := range 2 * perZone {
 		hosts[hostAddr(i)] = mesh.Host{Addr: hostAddr(i), Zone: mesh.ZoneName([]string{"a", "b"}[i%2])}
 	}
-	before := NewCollectors("a", hosts)
+	before := NewCollectors("a", maps.All(hosts))
 	if len(before) != 10 || len(before.Pollers()) != pollerCount {
 		t.Fatalf("got %v, want 10 collectors, %d of them pollers", before, pollerCount)
 	}
@@ -116,11 +116,11 @@
 	gone := hosts[before[0]]
 	gone.State = mesh.HostSuspect
 	hosts[before[0]] = gone
-	after := NewCollectors("a", hosts)
+	after := NewCollectors("a", maps.All(hosts))
 	if !slices.Equal(after[:9], before[1:]) {
 		t.Errorf("got %v, want %v first", after, before[1:])
 	}
-	if got := NewCollectors("c", hosts); len(got.Pollers()) != 0 {
+	if got := NewCollectors("c", maps.All(hosts)); len(got.Pollers()) != 0 {
 		t.Errorf("empty zone: got %v, want none", got)
 	}
 }
--- a/internal/mesh/node/carry.go
+++ b/internal/mesh/node/carry.go
@@ -246,6 +246,17 @@
 	return call.Attempts
 }
 
+// maxReturnMargin bounds the time that a hop keeps for the way back.
+const maxReturnMargin = 10 * time.Millisecond
+
+// passedTime returns the part of the remaining time that the next hop may use.
+// The rest lets a refusal that it makes at its deadline arrive as not run; with
+// the same deadline on both sides the sender would give up first and could only
+// say unknown.
+func passedTime(remaining time.Duration) (passed time.Duration) {
+	return remaining - min(maxReturnMargin, remaining/10)
+}
+
 func (p *peerCarrier) pass(to mesh.Endpoint, call *mesh.Call) (pass *wire.Pass) {
 	return &wire.Pass{
 		RequestId:    call.ID[:],
@@ -254,7 +265,7 @@
 		Organisation: string(call.Organisation),
 		KeyHash:      call.Key[:],
 		Class:        uint32(call.Class),
-		Remaining:    int64(call.Remaining(time.Now())),
+		Remaining:    int64(passedTime(call.Remaining(time.Now()))),
 		Attempts:     uint32(call.Attempts),
 		Weight:       uint32(call.Weight),
 		Version:      p.config.View().Version,
--- a/internal/mesh/node/config.go
+++ b/internal/mesh/node/config.go
@@ -290,7 +290,8 @@
 
 // incarnationOf returns the incarnation of a host in the roster, or 0.
 func (d *configDuty) incarnationOf(addr netip.AddrPort) (in mesh.Incarnation) {
-	return d.roster.View().Hosts[addr].Incarnation
+	h, _ := d.roster.View().Host(addr)
+	return h.Incarnation
 }
 
 // current returns the host that a message is from, unless a later life of it
--- a/internal/mesh/node/configstore.go
+++ b/internal/mesh/node/configstore.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"iter"
 	"net/netip"
 	"time"
 
@@ -161,7 +162,7 @@
 	}
 }
 
-func countTargets(zone mesh.ZoneName, hosts map[netip.AddrPort]mesh.Host) (targets map[mesh.ServiceName]int) {
+func countTargets(zone mesh.ZoneName, hosts iter.Seq2[netip.AddrPort, mesh.Host]) (targets map[mesh.ServiceName]int) {
 	targets = make(map[mesh.ServiceName]int)
 	for _, h := range hosts {
 		if h.Zone != zone || h.State != mesh.HostAlive {
--- a/internal/mesh/node/outcome_test.go
+++ b/internal/mesh/node/outcome_test.go
@@ -133,13 +133,6 @@
 	id       int
 }
 
-func freePort(t *testing.T) (a netip.AddrPort) {
-	t.Helper()
-	l := listen(t)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
 func newRig(t *testing.T, target netip.AddrPort) (r *rig) {
 	t.Helper()
 	server := httptest.NewServer(stub.New().Handler())
@@ -153,7 +146,7 @@
 		t.Fatal(err)
 	}
 	r = &rig{settings: Settings{
-		Zone: "north", CallerListen: freePort(t), LocalListen: freePort(t), PeerListen: freePort(t), Secrets: []string{testSecret},
+		Zone: "north", CallerListen: freeAddr(t), LocalListen: freeAddr(t), PeerListen: freeAddr(t), Secrets: []string{testSecret},
 	}}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -379,7 +372,7 @@
 // TestRefusedConnection guards against an unknown outcome, and an attempt that
 // stays claimed, when no byte left the node.
 func TestRefusedConnection(t *testing.T) {
-	r := newRig(t, freePort(t))
+	r := newRig(t, freeAddr(t))
 	id, _ := mesh.NewRequestID()
 	for range 2 {
 		a := r.send(http.MethodPost, "/ledger/pay", nil, header.RequestID, id.String())
--- a/internal/mesh/node/relay_test.go
+++ b/internal/mesh/node/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -40,12 +41,13 @@
 	versions := &configDuty{}
 	versions.view.Store(&config.View{Index: settings.Index("north"), Confirmed: time.Now()})
 	hosts := &rosterDuty{}
-	state := roster.New(mesh.Host{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Zone: "north"})
+	self := mesh.Host{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Zone: "north"}
+	state := roster.New(time.Now(), self, rand.New(rand.NewPCG(1, 2)))
 	for i := range 8 {
 		addr := netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", i+2))
-		state.Step(time.Now(), roster.Merged{Hosts: []mesh.Host{{
+		state.Step(time.Now(), roster.Merged{From: roster.Sender{Host: addr, Incarnation: 1}, Rows: []roster.Row{{Host: mesh.Host{
 			Addr: addr, Zone: "north", Incarnation: 1, Targets: []mesh.Target{{Service: "ledger", Addr: addr, Slots: 1}},
-		}}})
+		}}}})
 	}
 	hosts.view.Store(state.View())
 	f = &front{
--- a/internal/mesh/share/fleet_test.go
+++ b/internal/mesh/share/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"testing"
@@ -108,7 +109,7 @@
 			hosts[o] = mesh.Host{Addr: o, Zone: f.zones[o]}
 		}
 	}
-	f.ledgers[a].SetPlaces(NewPlaces(a, f.zones[a], hosts))
+	f.ledgers[a].SetPlaces(NewPlaces(a, f.zones[a], maps.All(hosts)))
 }
 
 func (f *fleet) perform(from netip.AddrPort, actions []Action) {
--- a/internal/mesh/share/places.go
+++ b/internal/mesh/share/places.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"net/netip"
 	"slices"
 
@@ -27,11 +28,11 @@
 
 // NewPlaces returns the places of the hosts that are alive. The node itself
 // always belongs to its own zone.
-func NewPlaces(self netip.AddrPort, zone mesh.ZoneName, hosts map[netip.AddrPort]mesh.Host) (p *Places) {
+func NewPlaces(self netip.AddrPort, zone mesh.ZoneName, hosts iter.Seq2[netip.AddrPort, mesh.Host]) (p *Places) {
 	p = &Places{
 		self: self, zone: zone,
 		hosts: make(map[mesh.ZoneName][]netip.AddrPort),
-		alive: make(map[netip.AddrPort]bool, len(hosts)),
+		alive: make(map[netip.AddrPort]bool),
 		cache: make(map[mesh.OrganisationName][][]netip.AddrPort),
 	}
 	p.hosts[zone] = append(p.hosts[zone], self)
