claim: short batches wait for the one before them

Cause: with up to four transactions at the platform, which the platform duty works off one after the other, the claims of one moment split into several short batches.

A short batch now goes out while another one is written only after 25 ms more.

--- a/internal/mesh/claim/batch.go
+++ b/internal/mesh/claim/batch.go
@@ -57,7 +57,7 @@
 			return true
 		}
 	}
-	for len(b.writes) >= MaxBatch || len(b.writes) > 0 && !now.Before(b.lingerUntil) {
+	for len(b.writes) >= MaxBatch || len(b.writes) > 0 && !now.Before(b.shortAt()) {
 		n := min(MaxBatch, len(b.writes))
 		group := b.writes[:n:n]
 		b.writes = b.writes[n:]
@@ -90,6 +90,7 @@
 	if len(writes) == 0 {
 		return false
 	}
+	b.writing++
 	b.act(Commit{Batch: batch, Writes: writes})
 	return true
 }
--- a/internal/mesh/claim/book.go
+++ b/internal/mesh/claim/book.go
@@ -24,6 +24,10 @@
 	// linger is how long the first claim of a batch waits for others.
 	linger = 2 * time.Millisecond
 
+	// busyLinger is added while another batch is written. Short batches that
+	// follow each other would cost more transactions and gain no time.
+	busyLinger = 25 * time.Millisecond
+
 	// maxEntries bounds the attempts that the book knows.
 	maxEntries = 16 << 10
 
@@ -99,7 +103,11 @@
 	// time leaves room for new claims after an outage.
 	reading bool
 
-	// lingerUntil is when the queue of writes goes out even if it is short.
+	// writing is how many of them are transactions of claims.
+	writing int
+
+	// lingerUntil is when the queue of writes goes out even if it is short,
+	// as long as no other batch is written.
 	lingerUntil time.Time
 
 	// pausedUntil is when the platform is tried again; failures counts its
@@ -134,9 +142,11 @@
 		b.dropped(now, e.Call)
 	case Written:
 		b.inFlight--
+		b.ended(e.Batch)
 		b.written(now, e)
 	case Unsent:
 		b.inFlight--
+		b.ended(e.Batch)
 		b.unsent(now, e.Batch)
 	case Seen:
 		b.inFlight--
@@ -146,6 +156,13 @@
 	return b.out
 }
 
+// ended counts a transaction of claims that is back.
+func (b *Book) ended(batch *Batch) {
+	if len(batch.frees) > 0 {
+		b.writing--
+	}
+}
+
 // Next returns when the book wants an Elapsed event; zero means not.
 func (b *Book) Next() (at time.Time) {
 	waiting := len(b.probes)
@@ -158,11 +175,19 @@
 	switch {
 	case waiting == 0 || len(b.entries) == 0 || b.inFlight >= b.limit():
 		return time.Time{}
-	case b.pausedUntil.After(b.lingerUntil):
+	case b.pausedUntil.After(b.shortAt()):
 		return b.pausedUntil
 	default:
-		return b.lingerUntil
+		return b.shortAt()
+	}
+}
+
+// shortAt returns when a short batch may go out.
+func (b *Book) shortAt() (at time.Time) {
+	if b.writing > 0 {
+		return b.lingerUntil.Add(busyLinger)
 	}
+	return b.lingerUntil
 }
 
 // limit returns how many batches may be at the platform. After a failure a
