--- a/internal/mesh/node/contract.go
+++ b/internal/mesh/node/contract.go
@@ -21,6 +21,9 @@
 	// the roster changes, since that looks at every host.
 	placesInterval = time.Second
 
+	// leastWake keeps a time that has already passed from making the duty spin.
+	leastWake = 100 * time.Microsecond
+
 	// configInterval is how often the duty looks for new settings and hosts
 	// while no request brings it to do so.
 	configInterval = time.Second
@@ -112,7 +115,7 @@
 		wake.Stop()
 		return
 	}
-	wake.Reset(time.Until(at))
+	wake.Reset(max(leastWake, time.Until(at)))
 }
 
 func (d *contractDuty) handle(now time.Time, e mesh.Event) {
--- a/internal/mesh/share/lease.go
+++ b/internal/mesh/share/lease.go
@@ -436,7 +436,7 @@
 // issueFailed tries again later.
 func (l *Ledger) issueFailed(now time.Time, e IssueFailed) {
 	a, found := l.accounts[e.Organisation]
-	if !found {
+	if !found || l.leaving {
 		return
 	}
 	a.issue.busy = false
@@ -453,7 +453,7 @@
 		for _, w := range a.waiting {
 			l.turnAway(a, w)
 		}
-		a.waiting = nil
+		a.waiting, a.issue.at = nil, time.Time{}
 		for _, o := range slices.Clone(a.lots) {
 			if o.root() {
 				l.handOver(now, a, o)
--- a/internal/mesh/share/ledger.go
+++ b/internal/mesh/share/ledger.go
@@ -214,7 +214,9 @@
 
 func (l *Ledger) wakeForAccount(now time.Time, a *account) {
 	l.wakeBy(a.careAt)
-	l.wakeBy(a.issue.at)
+	if !a.issue.busy {
+		l.wakeBy(a.issue.at)
+	}
 	if len(a.waiting) == 0 {
 		return
 	}
