share: draw small parts of a burst one by one

A node now keeps a share only when its part of the burst, by its part of the rate, holds at least four requests; below that it draws tokens from holders.

Ruled out: larger shares at fewer nodes, which is what the holders are.

--- a/internal/mesh/share/fleet_test.go
+++ b/internal/mesh/share/fleet_test.go
@@ -49,6 +49,12 @@
 	admissions []time.Time
 	tickets    uint64
 	messages   int
+	bytes      int
+
+	// asked is when each request arrived, and slowest the longest wait of one
+	// that was admitted.
+	asked   map[uint64]time.Time
+	slowest time.Duration
 }
 
 // letterJob is an issue on its way to the platform.
@@ -69,7 +75,7 @@
 		zones: make(map[netip.AddrPort]mesh.ZoneName), ledgers: make(map[netip.AddrPort]*Ledger),
 		rate: rate, burst: burst,
 		local: 500 * time.Microsecond, remote: 500 * time.Microsecond,
-		decided: make(map[uint64]bool),
+		decided: make(map[uint64]bool), asked: make(map[uint64]time.Time),
 	}
 	for z := range zones {
 		for range perZone {
@@ -122,6 +128,9 @@
 		switch x := x.(type) {
 		case Send:
 			f.messages++
+			if BatchSize != nil {
+				f.bytes += BatchSize(f.ledgers[from].Self(), x.Batch)
+			}
 			f.letters = append(f.letters, letter{from: from, to: x.To, batch: x.Batch, at: f.now.Add(f.delay(from, x.To))})
 		case Issue:
 			f.jobs = append(f.jobs, letterJob{from: f.ledgers[from].Self(), issue: x, asked: f.now})
@@ -135,6 +144,7 @@
 	f.decided[ticket] = admitted
 	if admitted {
 		f.admissions = append(f.admissions, f.now)
+		f.slowest = max(f.slowest, f.now.Sub(f.asked[ticket]))
 	}
 }
 
@@ -189,6 +199,7 @@
 func (f *fleet) admit(a netip.AddrPort) (ticket uint64) {
 	f.tickets++
 	ticket = f.tickets
+	f.asked[ticket] = f.now
 	verdict, actions := f.ledgers[a].Admit(f.now, testOrganisation, f.now.Add(time.Second), ticket)
 	if verdict != Waits {
 		f.decide(ticket, verdict == Admitted)
--- a/internal/mesh/share/lease.go
+++ b/internal/mesh/share/lease.go
@@ -259,7 +259,7 @@
 
 // keep returns what the demand of a node can use.
 func (a *account) keep(total Parcel) (kept Parcel) {
-	if a.demand.rate == 0 {
+	if !a.keeps(a.demand.rate) {
 		return Parcel{}
 	}
 	kept.Rate = 2 * a.demand.rate
@@ -269,6 +269,17 @@
 	return kept
 }
 
+// keeps reports whether a node with this demand keeps a share of its own. Its
+// part of the burst, by its part of the rate, must hold a few requests: in
+// smaller parts the burst would lie in fractions of a token that admit nobody.
+// Below that, requests draw their tokens from the holders one by one.
+func (a *account) keeps(demand Amount) (keeps bool) {
+	if demand == 0 || a.contract.Rate == 0 {
+		return false
+	}
+	return a.contract.Capacity.scale(demand, a.contract.Rate) >= leastKept
+}
+
 // issueNext asks the platform for the first grant, or to renew or change the
 // grant that was written longest ago.
 func (l *Ledger) issueNext(now time.Time, a *account) {
--- a/internal/mesh/share/lend.go
+++ b/internal/mesh/share/lend.go
@@ -36,6 +36,9 @@
 	holderDepth = 2
 	leafDepth   = 3
 
+	// leastKept is the smallest part of a burst that a node keeps for itself.
+	leastKept = 4 * One
+
 	// leastGift is the smallest part of a request that is worth a message.
 	leastGift = One / 4
 )
@@ -389,9 +392,12 @@
 	}
 	own := a.demand.now(now)
 	spare := all.Tokens - min(all.Tokens/2, own/2)
-	ahead := min(k.Demand, spare/4)
-	want.Tokens = min(spare, max(k.Need, ahead))
-	want.Rate = min(max(0, all.Rate-own-own/4), max(0, k.Demand+k.Demand/2-k.Rate))
+	want.Tokens = min(spare, k.Need)
+	if a.keeps(k.Demand) {
+		ahead := min(k.Demand, spare/4)
+		want.Tokens = min(spare, max(k.Need, ahead))
+		want.Rate = min(max(0, all.Rate-own-own/4), max(0, k.Demand+k.Demand/2-k.Rate))
+	}
 	rest := all.Capacity - (all.Tokens - want.Tokens)
 	stays := min(rest-want.Tokens, (all.Rate-want.Rate)/4)
 	want.Capacity = min(rest-stays, want.Tokens+want.Rate/2)
--- a/internal/mesh/share/move.go
+++ b/internal/mesh/share/move.go
@@ -206,10 +206,10 @@
 
 // brought ends the pause between rounds when a round was of use.
 func (a *account) brought(tokens Amount) {
-	if tokens < leastGift {
+	if tokens < One {
 		return
 	}
-	a.round.pause = 0
+	a.round.pause /= 2
 	if len(a.round.order) == 0 {
 		a.round.open, a.round.stepAt = 0, time.Time{}
 	}
