share: follow demand faster; tests of issue and encoding

Cause: half of an interval's demand stayed in the estimate, so that shares followed a move of the demand in seconds.

--- /dev/null
+++ b/internal/mesh/node/contract_test.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/share"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
+)
+
+// table is a platform in memory that can lose answers.
+type table struct {
+	mesh.Platform
+	rows     map[string]mesh.Row
+	sequence uint64
+
+	// loseAfter and loseBefore make the next commit fail after, or before, it
+	// takes effect.
+	loseAfter, loseBefore bool
+}
+
+func (p *table) Read(_ context.Context, key string) (row mesh.Row, found bool, err error) {
+	row, found = p.rows[key]
+	return row, found, nil
+}
+
+func (p *table) Commit(_ context.Context, writes []mesh.Write) (err error) {
+	w, row := writes[0], p.rows[writes[0].Key]
+	if p.loseBefore {
+		p.loseBefore = false
+		return mesh.ErrPlatformUnavailable
+	}
+	if w.Condition == mesh.IfAbsent && row.Version > 0 || w.Condition == mesh.IfVersion && row.Version != w.Version {
+		return &mesh.ConflictError{Current: row}
+	}
+	p.sequence++
+	p.rows[w.Key] = mesh.Row{Key: w.Key, Value: w.Value, Version: p.sequence}
+	if p.loseAfter {
+		p.loseAfter = false
+		return mesh.ErrPlatformUnavailable
+	}
+	return nil
+}
+
+func testHolder(port uint16) (h share.Holder) {
+	return share.Holder{Addr: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), Life: 7}
+}
+
+// TestIssueSurvivesLostAnswers guards against a take that counts although it
+// was not written, or is unknown although it was.
+func TestIssueSurvivesLostAnswers(t *testing.T) {
+	contract := share.Parcel{Rate: 10 * share.One, Capacity: 10 * share.One}
+	for _, c := range []struct {
+		name    string
+		table   table
+		written bool
+	}{
+		{name: "answered", written: true},
+		{name: "lost after the write", table: table{loseAfter: true}, written: true},
+		{name: "lost before the write", table: table{loseBefore: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.table.rows = make(map[string]mesh.Row)
+			root := testHolder(1)
+			job := issueShare{issue: share.Issue{Organisation: "acme", Change: share.Change{
+				Root: root, Keeper: root.Addr, Want: contract, New: true, Contract: contract, Under: contract,
+			}}}
+			issued, err := job.change(t.Context(), &c.table, time.Now())
+			if err != nil {
+				t.Fatal(err)
+			}
+			var stored share.Row
+			if row := c.table.rows[shareKey("acme")]; row.Value != nil {
+				if err := json.Unmarshal(row.Value, &stored); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, got := stored.Find(root); got != c.written {
+				t.Errorf("stored: got %v, want %v", got, c.written)
+			}
+			if got := issued.Written == root; got != c.written {
+				t.Errorf("known as written: got %v, want %v", got, c.written)
+			}
+			if got := issued.Fresh > 0; got != c.written {
+				t.Errorf("fresh tokens: got %v, want %v", got, c.written)
+			}
+		})
+	}
+}
+
+// TestBatchSurvivesEncoding guards against a field of a batch that the message
+// between nodes leaves out.
+func TestBatchSurvivesEncoding(t *testing.T) {
+	p := share.Parcel{Rate: 1, Capacity: 3, Tokens: 2}
+	want := share.Batch{
+		Life: 7, Sent: time.Unix(5, 6), Acks: []uint64{1}, Denied: []uint64{2}, None: []mesh.OrganisationName{"acme"},
+		Asks: []share.Ask{{Organisation: "acme", Need: 1, Demand: 2, Rate: 3, Depth: 2, Recall: true, Leaf: true, Wait: 4}},
+		Transfers: []share.Transfer{{
+			ID: 9, Floor: 8, Life: 7, Organisation: "acme", Kind: share.HandOver, Root: testHolder(3), Parcel: p,
+			Lease: time.Hour, Leaf: true, Issued: p, Burnt: p,
+			Loans: []share.LoanRow{{Borrower: testHolder(4), Parcel: p, Left: time.Minute}},
+		}},
+	}
+	from, got, err := wire.ToBatch(wire.FromBatch(testHolder(1).Addr, want))
+	if err != nil || from != testHolder(1).Addr || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v from %v (%v), want %+v", got, from, err, want)
+	}
+}
+
+// startContract runs a contract duty whose platform is in memory and which
+// holds the whole contract.
+func startContract(b *testing.B) (d *contractDuty) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log, vars := logs.For(logger, "test"), new(expvar.Map)
+	s := Settings{Zone: "a", PeerListen: testHolder(1).Addr}
+	d = newContractDuty(vars, s, newConfigDuty(vars, s, log), log)
+	d.roster = newRosterDuty(vars, s, log)
+	d.platform = newPlatformDuty(vars, &table{rows: make(map[string]mesh.Row)})
+	d.follow(time.Now())
+	d.perform(d.ledger.Step(time.Now(), share.Configured{
+		Contracts: map[mesh.OrganisationName]mesh.Contract{"acme": {Rate: 1e9, Burst: 1e9}}, Zones: 1, Lease: time.Hour,
+	}))
+	go func() { _ = d.platform.Run(b.Context()) }()
+	go func() { _ = d.Run(b.Context()) }()
+	return d
+}
+
+// BenchmarkContractAdmit measures an admission through the duty's ring, as a
+// request makes it.
+func BenchmarkContractAdmit(b *testing.B) {
+	d := startContract(b)
+	deadline := time.Now().Add(time.Hour)
+	for d.Admit(b.Context(), "acme", deadline) != nil {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if refusal := d.Admit(b.Context(), "acme", deadline); refusal != nil {
+			b.Fatal(refusal)
+		}
+	}
+}
--- a/internal/mesh/share/ledger.go
+++ b/internal/mesh/share/ledger.go
@@ -270,7 +270,7 @@
 		return
 	}
 	arrived := (Amount(d.count) * One).scale(Amount(time.Second), Amount(elapsed))
-	d.rate = (d.rate + arrived) / 2
+	d.rate = (d.rate + 3*arrived) / 4
 	if d.rate < One/100 {
 		d.rate = 0
 	}
