share: return rate that a full pool would waste

Cause: nodes kept up to twice their demand's rate in a pool that was full, so its refill was lost to all, and the fleet's tokens did not recover after a move of the demand. A node whose pool is full now returns what exceeds its demand by an eighth. A demand whose last arrivals stayed out counts as gone at once.

--- a/internal/mesh/share/lease.go
+++ b/internal/mesh/share/lease.go
@@ -12,6 +12,11 @@
 	// returned and no longer lent when less than this part is left.
 	leaseParts = 4
 
+	// leastEmpty and leastExcess say which parts of a capacity and of a rate
+	// are worth a message to return them.
+	leastEmpty  = 4
+	leastExcess = 16
+
 	// takeInterval is the least time between two takes of what a contract
 	// leaves free, so that a shortage costs few writes.
 	takeInterval = 5 * time.Second
@@ -237,10 +242,10 @@
 	total := a.total(now)
 	excess := total.minus(a.keep(total))
 	excess = Parcel{Rate: max(0, excess.Rate), Capacity: max(0, excess.Capacity), Tokens: max(0, excess.Tokens)}
-	if excess.Rate < total.Rate/leaseParts {
+	if excess.Rate < total.Rate/leastExcess {
 		excess.Rate = 0
 	}
-	if excess.Capacity < total.Capacity/leaseParts {
+	if excess.Capacity < total.Capacity/leastEmpty {
 		excess.Capacity, excess.Tokens = 0, 0
 	}
 	for _, o := range slices.Backward(a.lots) {
@@ -263,6 +268,10 @@
 		return Parcel{}
 	}
 	kept.Rate = 2 * a.demand.rate
+	if total.Tokens == total.Capacity {
+		// A full pool loses its refill.
+		kept.Rate = a.demand.rate + a.demand.rate/8
+	}
 	kept.Tokens = min(total.Tokens, One+a.demand.rate)
 	kept.Capacity = min(total.Capacity, One+a.demand.rate+min(total.Rate, kept.Rate)/2)
 	kept.Tokens = min(kept.Tokens, kept.Capacity)
--- a/internal/mesh/share/ledger.go
+++ b/internal/mesh/share/ledger.go
@@ -131,6 +131,7 @@
 		return Refused, nil
 	}
 	a.demand.count++
+	a.demand.last = now
 	if a.careAt.IsZero() {
 		a.careAt = now.Add(careInterval)
 		a.demand.rolled = now
@@ -259,6 +260,9 @@
 	count  int64
 	rolled time.Time
 
+	// last is when the last request arrived.
+	last time.Time
+
 	// rate is the smoothed arrival rate per second.
 	rate Amount
 }
--- a/internal/mesh/share/lend.go
+++ b/internal/mesh/share/lend.go
@@ -39,6 +39,10 @@
 	// leastKept is the smallest part of a burst that a node keeps for itself.
 	leastKept = 4 * One
 
+	// goneAfter is the number of requests that have to stay out before the
+	// demand counts as gone.
+	goneAfter = 3 * One
+
 	// leastGift is the smallest part of a request that is worth a message.
 	leastGift = One / 4
 )
@@ -405,7 +409,12 @@
 }
 
 // now returns the arrival rate including the count that was not yet rolled.
+// After a gap of several arrivals the demand counts as gone, so that shares
+// follow a demand that has moved elsewhere at once.
 func (d *demand) now(now time.Time) (rate Amount) {
+	if gap := now.Sub(d.last); gap > 0 && d.rate.scale(Amount(gap), Amount(time.Second)) > goneAfter {
+		return 0
+	}
 	elapsed := max(now.Sub(d.rolled), careInterval)
 	recent := (Amount(d.count) * One).scale(Amount(time.Second), Amount(elapsed))
 	return max(d.rate, recent)
