share: go on with peers not yet asked when a round found too little

Cause: each round began with the same peers, which had fractions to give, and never reached the holder that held half of the contract.

--- a/internal/mesh/share/lend.go
+++ b/internal/mesh/share/lend.go
@@ -64,7 +64,11 @@
 // advance serves those that wait as far as tokens allow, refuses those whose
 // time is over and asks peers for the rest.
 func (l *Ledger) advance(now time.Time, a *account) {
-	l.serve(now, a)
+	served := l.serve(now, a)
+	if served && len(a.waiting) == 0 {
+		a.round.order, a.round.open = nil, 0
+		return
+	}
 	a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) (over bool) {
 		if w.until.After(now) {
 			return false
@@ -73,7 +77,9 @@
 		return true
 	})
 	if len(a.waiting) == 0 {
-		a.round.order, a.round.open = nil, 0
+		// Those asked so far had nothing in time. The next one that waits goes
+		// on with the others.
+		a.round.open = 0
 		return
 	}
 	if !a.round.stepAt.After(now) {
@@ -91,24 +97,30 @@
 	l.actions = append(l.actions, Decide{Ticket: w.ticket})
 }
 
-// serve gives to those that wait, in their order.
-func (l *Ledger) serve(now time.Time, a *account) {
+// serve gives to those that wait, in their order, and reports whether the last
+// one that it took off the list got all that it needs.
+func (l *Ledger) serve(now time.Time, a *account) (served bool) {
 	for len(a.waiting) > 0 {
 		w := a.waiting[0]
 		switch {
 		case !w.until.After(now):
 			l.turnAway(a, w)
+			served = false
 		case w.peer.IsValid():
+			enough := a.total(now).Tokens >= w.ask.Need
 			if !l.give(now, a, w.peer, w.ask) {
-				return
+				return served
 			}
+			served = enough
 		case a.take(now):
 			l.actions = append(l.actions, Decide{Ticket: w.ticket, Admitted: true})
+			served = true
 		default:
-			return
+			return served
 		}
 		a.waiting = a.waiting[1:]
 	}
+	return served
 }
 
 // stepRound asks the next peers, or ends the round when all were asked.
