share: a node that becomes a holder takes its part without demand

Cause: a node that became a holder through a change of the roster while it was idle never woke, so what a dead holder had held was not issued again after its lease (TestDeadHolder, 60 of 90 a second held). New tests cover a lowered contract (in force after 2 s, reported as pending until then), a graceful hand-over and a dead holder.

Ruled out: reclaiming by the remaining holders alone, since they only take more when requests are short.

--- /dev/null
+++ b/internal/mesh/share/change_test.go
@@ -0,0 +1,99 @@
+package share
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLoweredContract guards against a lowered contract that never comes into
+// force, or is reported as in force before it is.
+func TestLoweredContract(t *testing.T) {
+	f := newFleet(2, 5, 100, 100)
+	f.settle(5 * time.Second)
+	for range 300 {
+		f.admit(f.addrs[0])
+		f.settle(time.Second / 80)
+	}
+	f.rate, f.burst = 40, 50
+	for _, a := range f.addrs {
+		f.perform(a, f.ledgers[a].Step(f.now, f.configured()))
+	}
+	pendingAt := f.now
+	for f.row.Sum().Rate > FromRequests(f.rate) || f.row.Sum().Capacity > FromRequests(f.burst) {
+		pending := false
+		for _, a := range f.addrs {
+			p := f.ledgers[a].Pending(testOrganisation)
+			pending = pending || p.Rate > 0 || p.Capacity > 0
+		}
+		if !pending {
+			t.Fatalf("%v after the change: got nothing pending, want the excess of %+v", f.now.Sub(pendingAt), f.row.Sum())
+		}
+		if f.now.Sub(pendingAt) > time.Minute {
+			t.Fatalf("after a minute: got %+v issued, want 40 a second with burst 50", f.row.Sum())
+		}
+		f.settle(100 * time.Millisecond)
+	}
+	t.Logf("in force after %v", f.now.Sub(pendingAt))
+	f.check(t)
+	if got := f.held(); got.Rate > FromRequests(f.rate) || got.Rate < FromRequests(f.rate-1) {
+		t.Errorf("held: got %+v, want 40 a second", got)
+	}
+}
+
+// TestLeaveHandsOver guards against shares that are lost when their holder
+// leaves in order.
+func TestLeaveHandsOver(t *testing.T) {
+	f := newFleet(1, 4, 100, 100)
+	f.settle(5 * time.Second)
+	before := f.held()
+	for _, a := range f.addrs[:2] {
+		f.perform(a, f.ledgers[a].Step(f.now, Leave{}))
+		f.settle(2 * time.Second)
+		if !f.ledgers[a].Left() {
+			t.Errorf("%v: got shares left, want all handed over", a)
+		}
+		f.ledgers[a] = nil
+		for _, o := range f.addrs {
+			if f.ledgers[o] != nil {
+				f.place(o)
+			}
+		}
+	}
+	if got := f.held(); got != before {
+		t.Errorf("held by the others: got %+v, want %+v", got, before)
+	}
+	f.check(t)
+}
+
+// TestDeadHolder guards against a dead holder that stops admission from other
+// shares, and against its share coming back before its lease has ended or not
+// at all.
+func TestDeadHolder(t *testing.T) {
+	f := newFleet(1, 5, 90, 90)
+	f.settle(5 * time.Second)
+	holders := f.ledgers[f.addrs[0]].places.holders(testOrganisation)[0]
+	dead, at := holders[0], holders[1]
+	lost := f.ledgers[dead].Held(f.now, testOrganisation)
+	f.ledgers[dead] = nil
+	for range 200 {
+		f.admit(at)
+		f.settle(time.Second / 40)
+	}
+	if got := f.refusals(); got > 0 {
+		t.Errorf("with a dead holder: got %d of 200 refused, want none", got)
+	}
+	for _, a := range f.addrs {
+		if f.ledgers[a] != nil {
+			f.place(a)
+		}
+	}
+	f.settle(testLease)
+	if got, want := f.held().Rate, FromRequests(90)-lost.Rate; got > want {
+		t.Errorf("before the lease ended: got %v, want at most %v", got, want)
+	}
+	f.settle(testLease)
+	if got := f.held(); got.Rate < FromRequests(89) {
+		t.Errorf("after the lease ended: got %+v, want about 90 a second", got)
+	}
+	f.check(t)
+}
--- a/internal/mesh/share/fleet_test.go
+++ b/internal/mesh/share/fleet_test.go
@@ -120,7 +120,7 @@
 			hosts[o] = mesh.Host{Addr: o, Zone: f.zones[o]}
 		}
 	}
-	f.ledgers[a].SetPlaces(NewPlaces(a, f.zones[a], hosts))
+	f.ledgers[a].SetPlaces(f.now, NewPlaces(a, f.zones[a], hosts))
 }
 
 func (f *fleet) perform(from netip.AddrPort, actions []Action) {
--- a/internal/mesh/share/ledger.go
+++ b/internal/mesh/share/ledger.go
@@ -106,8 +106,17 @@
 // Self returns the life that the ledger belongs to.
 func (l *Ledger) Self() (self Holder) { return l.self }
 
-// SetPlaces brings the hosts that are alive.
-func (l *Ledger) SetPlaces(p *Places) { l.places = p }
+// SetPlaces brings the hosts that are alive. A node that thereby became a
+// holder takes its part of the contract even when nobody asks for it.
+func (l *Ledger) SetPlaces(now time.Time, p *Places) {
+	l.places = p
+	for _, name := range l.names {
+		if a := l.accounts[name]; a.issue.at.IsZero() && p.holds(name) && !l.leaving {
+			a.issue.at = now
+			l.wakeBy(now)
+		}
+	}
+}
 
 // Wake returns when the ledger next needs a Woken event; zero means not
 // before another event.
