--- a/internal/mesh/node/contract.go
+++ b/internal/mesh/node/contract.go
@@ -21,6 +21,9 @@
 	// the roster changes, since that looks at every host.
 	placesInterval = time.Second
 
+	// leastWake keeps a time that has already passed from making the duty spin.
+	leastWake = 100 * time.Microsecond
+
 	// configInterval is how often the duty looks for new settings and hosts
 	// while no request brings it to do so.
 	configInterval = time.Second
@@ -112,7 +115,7 @@
 		wake.Stop()
 		return
 	}
-	wake.Reset(time.Until(at))
+	wake.Reset(max(leastWake, time.Until(at)))
 }
 
 func (d *contractDuty) handle(now time.Time, e mesh.Event) {
@@ -147,7 +150,7 @@
 func (d *contractDuty) follow(now time.Time) {
 	if hosts := d.roster.View(); hosts != d.hosts && now.Sub(d.placedAt) >= placesInterval {
 		d.hosts, d.placedAt = hosts, now
-		d.ledger.SetPlaces(share.NewPlaces(d.ledger.Self().Addr, d.zone, hosts.Hosts))
+		d.ledger.SetPlaces(now, share.NewPlaces(d.ledger.Self().Addr, d.zone, hosts.Hosts))
 	}
 	v := d.config.View()
 	if v == nil || d.view != nil && v.Version == d.view.Version {
--- a/internal/mesh/share/lease.go
+++ b/internal/mesh/share/lease.go
@@ -12,6 +12,11 @@
 	// returned and no longer lent when less than this part is left.
 	leaseParts = 4
 
+	// leastEmpty and leastExcess say which parts of a capacity and of a rate
+	// are worth a message to return them.
+	leastEmpty  = 4
+	leastExcess = 16
+
 	// takeInterval is the least time between two takes of what a contract
 	// leaves free, so that a shortage costs few writes.
 	takeInterval = 5 * time.Second
@@ -237,10 +242,10 @@
 	total := a.total(now)
 	excess := total.minus(a.keep(total))
 	excess = Parcel{Rate: max(0, excess.Rate), Capacity: max(0, excess.Capacity), Tokens: max(0, excess.Tokens)}
-	if excess.Rate < total.Rate/leaseParts {
+	if excess.Rate < total.Rate/leastExcess {
 		excess.Rate = 0
 	}
-	if excess.Capacity < total.Capacity/leaseParts {
+	if excess.Capacity < total.Capacity/leastEmpty {
 		excess.Capacity, excess.Tokens = 0, 0
 	}
 	for _, o := range slices.Backward(a.lots) {
@@ -259,16 +264,31 @@
 
 // keep returns what the demand of a node can use.
 func (a *account) keep(total Parcel) (kept Parcel) {
-	if a.demand.rate == 0 {
+	if !a.keeps(a.demand.rate) {
 		return Parcel{}
 	}
 	kept.Rate = 2 * a.demand.rate
+	if total.Tokens == total.Capacity {
+		// A full pool loses its refill.
+		kept.Rate = a.demand.rate + a.demand.rate/8
+	}
 	kept.Tokens = min(total.Tokens, One+a.demand.rate)
 	kept.Capacity = min(total.Capacity, One+a.demand.rate+min(total.Rate, kept.Rate)/2)
 	kept.Tokens = min(kept.Tokens, kept.Capacity)
 	return kept
 }
 
+// keeps reports whether a node with this demand keeps a share of its own. Its
+// part of the burst, by its part of the rate, must hold a few requests: in
+// smaller parts the burst would lie in fractions of a token that admit nobody.
+// Below that, requests draw their tokens from the holders one by one.
+func (a *account) keeps(demand Amount) (keeps bool) {
+	if demand == 0 || a.contract.Rate == 0 {
+		return false
+	}
+	return a.contract.Capacity.scale(demand, a.contract.Rate) >= leastKept
+}
+
 // issueNext asks the platform for the first grant, or to renew or change the
 // grant that was written longest ago.
 func (l *Ledger) issueNext(now time.Time, a *account) {
@@ -436,7 +456,7 @@
 // issueFailed tries again later.
 func (l *Ledger) issueFailed(now time.Time, e IssueFailed) {
 	a, found := l.accounts[e.Organisation]
-	if !found {
+	if !found || l.leaving {
 		return
 	}
 	a.issue.busy = false
@@ -453,7 +473,7 @@
 		for _, w := range a.waiting {
 			l.turnAway(a, w)
 		}
-		a.waiting = nil
+		a.waiting, a.issue.at = nil, time.Time{}
 		for _, o := range slices.Clone(a.lots) {
 			if o.root() {
 				l.handOver(now, a, o)
--- a/internal/mesh/share/ledger.go
+++ b/internal/mesh/share/ledger.go
@@ -106,8 +106,17 @@
 // Self returns the life that the ledger belongs to.
 func (l *Ledger) Self() (self Holder) { return l.self }
 
-// SetPlaces brings the hosts that are alive.
-func (l *Ledger) SetPlaces(p *Places) { l.places = p }
+// SetPlaces brings the hosts that are alive. A node that thereby became a
+// holder takes its part of the contract even when nobody asks for it.
+func (l *Ledger) SetPlaces(now time.Time, p *Places) {
+	l.places = p
+	for _, name := range l.names {
+		if a := l.accounts[name]; a.issue.at.IsZero() && p.holds(name) && !l.leaving {
+			a.issue.at = now
+			l.wakeBy(now)
+		}
+	}
+}
 
 // Wake returns when the ledger next needs a Woken event; zero means not
 // before another event.
@@ -131,6 +140,7 @@
 		return Refused, nil
 	}
 	a.demand.count++
+	a.demand.last = now
 	if a.careAt.IsZero() {
 		a.careAt = now.Add(careInterval)
 		a.demand.rolled = now
@@ -214,7 +224,9 @@
 
 func (l *Ledger) wakeForAccount(now time.Time, a *account) {
 	l.wakeBy(a.careAt)
-	l.wakeBy(a.issue.at)
+	if !a.issue.busy {
+		l.wakeBy(a.issue.at)
+	}
 	if len(a.waiting) == 0 {
 		return
 	}
@@ -257,6 +269,9 @@
 	count  int64
 	rolled time.Time
 
+	// last is when the last request arrived.
+	last time.Time
+
 	// rate is the smoothed arrival rate per second.
 	rate Amount
 }
@@ -268,7 +283,7 @@
 		return
 	}
 	arrived := (Amount(d.count) * One).scale(Amount(time.Second), Amount(elapsed))
-	d.rate = (d.rate + arrived) / 2
+	d.rate = (d.rate + 3*arrived) / 4
 	if d.rate < One/100 {
 		d.rate = 0
 	}
--- a/internal/mesh/share/lend.go
+++ b/internal/mesh/share/lend.go
@@ -36,6 +36,13 @@
 	holderDepth = 2
 	leafDepth   = 3
 
+	// leastKept is the smallest part of a burst that a node keeps for itself.
+	leastKept = 4 * One
+
+	// goneAfter is the number of requests that have to stay out before the
+	// demand counts as gone.
+	goneAfter = 3 * One
+
 	// leastGift is the smallest part of a request that is worth a message.
 	leastGift = One / 4
 )
@@ -57,7 +64,11 @@
 // advance serves those that wait as far as tokens allow, refuses those whose
 // time is over and asks peers for the rest.
 func (l *Ledger) advance(now time.Time, a *account) {
-	l.serve(now, a)
+	served := l.serve(now, a)
+	if served && len(a.waiting) == 0 {
+		a.round.order, a.round.open = nil, 0
+		return
+	}
 	a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) (over bool) {
 		if w.until.After(now) {
 			return false
@@ -66,7 +77,9 @@
 		return true
 	})
 	if len(a.waiting) == 0 {
-		a.round.order, a.round.open = nil, 0
+		// Those asked so far had nothing in time. The next one that waits goes
+		// on with the others.
+		a.round.open = 0
 		return
 	}
 	if !a.round.stepAt.After(now) {
@@ -84,24 +97,30 @@
 	l.actions = append(l.actions, Decide{Ticket: w.ticket})
 }
 
-// serve gives to those that wait, in their order.
-func (l *Ledger) serve(now time.Time, a *account) {
+// serve gives to those that wait, in their order, and reports whether the last
+// one that it took off the list got all that it needs.
+func (l *Ledger) serve(now time.Time, a *account) (served bool) {
 	for len(a.waiting) > 0 {
 		w := a.waiting[0]
 		switch {
 		case !w.until.After(now):
 			l.turnAway(a, w)
+			served = false
 		case w.peer.IsValid():
+			enough := a.total(now).Tokens >= w.ask.Need
 			if !l.give(now, a, w.peer, w.ask) {
-				return
+				return served
 			}
+			served = enough
 		case a.take(now):
 			l.actions = append(l.actions, Decide{Ticket: w.ticket, Admitted: true})
+			served = true
 		default:
-			return
+			return served
 		}
 		a.waiting = a.waiting[1:]
 	}
+	return served
 }
 
 // stepRound asks the next peers, or ends the round when all were asked.
@@ -389,9 +408,12 @@
 	}
 	own := a.demand.now(now)
 	spare := all.Tokens - min(all.Tokens/2, own/2)
-	ahead := min(k.Demand, spare/4)
-	want.Tokens = min(spare, max(k.Need, ahead))
-	want.Rate = min(max(0, all.Rate-own-own/4), max(0, k.Demand+k.Demand/2-k.Rate))
+	want.Tokens = min(spare, k.Need)
+	if a.keeps(k.Demand) {
+		ahead := min(k.Demand, spare/4)
+		want.Tokens = min(spare, max(k.Need, ahead))
+		want.Rate = min(max(0, all.Rate-own-own/4), max(0, k.Demand+k.Demand/2-k.Rate))
+	}
 	rest := all.Capacity - (all.Tokens - want.Tokens)
 	stays := min(rest-want.Tokens, (all.Rate-want.Rate)/4)
 	want.Capacity = min(rest-stays, want.Tokens+want.Rate/2)
@@ -399,7 +421,12 @@
 }
 
 // now returns the arrival rate including the count that was not yet rolled.
+// After a gap of several arrivals the demand counts as gone, so that shares
+// follow a demand that has moved elsewhere at once.
 func (d *demand) now(now time.Time) (rate Amount) {
+	if gap := now.Sub(d.last); gap > 0 && d.rate.scale(Amount(gap), Amount(time.Second)) > goneAfter {
+		return 0
+	}
 	elapsed := max(now.Sub(d.rolled), careInterval)
 	recent := (Amount(d.count) * One).scale(Amount(time.Second), Amount(elapsed))
 	return max(d.rate, recent)
