--- a/internal/mesh/share/change_test.go
+++ b/internal/mesh/share/change_test.go
@@ -97,3 +97,21 @@
 	}
 	f.check(t)
 }
+
+// TestLoanThatMayBeLentOn guards against a loan to a holder that is restored
+// when a new life of the holder is seen, or denies the transfer: the earlier
+// life may have lent a part of it on, which lasts until the lease ends.
+func TestLoanThatMayBeLentOn(t *testing.T) {
+	p := newPair()
+	p.toLender(1, Batch{})
+	n := transfer(t, p.toLender(1, Batch{Asks: []Ask{{Organisation: testOrganisation, Need: One}}}))
+	p.toLender(2, Batch{Denied: []uint64{n.ID}})
+	want := FromRequests(specTotal) - One
+	if got := p.lender.Held(p.now, testOrganisation).Capacity; got != want {
+		t.Errorf("with a new life: got capacity %v, want %v", got, want)
+	}
+	p.end()
+	if got := p.lender.Held(p.now, testOrganisation).Capacity; got != want+One {
+		t.Errorf("after the lease: got capacity %v, want %v", got, want+One)
+	}
+}
