--- a/internal/fault/promise_test.go
+++ b/internal/fault/promise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -210,6 +211,7 @@
 	client := &http.Client{Timeout: attemptBound}
 	for range 20 {
 		if code := c.read(client, entryHost); code != "" {
+			c.logVars()
 			t.Errorf("read: got code %q, want an answer", code)
 		}
 	}
@@ -264,9 +266,26 @@
 			return
 		}
 	}
+	c.logVars()
 	c.t.Fatalf("host %d: got code %q for %v, want an answer", host, code, recoveryBound)
 }
 
+// logVars logs the metrics of all nodes, to find the cause of a failure.
+func (c *cluster) logVars() {
+	c.t.Helper()
+	for host := range hostCount {
+		response, err := http.Get("http://" + c.addr(host, localPort).String() + "/debug/vars")
+		if err != nil {
+			c.t.Logf("host %d: %v", host, err)
+			continue
+		}
+		var vars struct{ Node json.RawMessage }
+		err = json.NewDecoder(response.Body).Decode(&vars)
+		response.Body.Close()
+		c.t.Logf("host %d: %s %v", host, vars.Node, err)
+	}
+}
+
 // admission is the time that one request took, as its caller saw it.
 type admission struct{ sent, received time.Time }
 
