node: a peer's refusal keeps its reason and its wait

Cause: a refusal of another node reached the caller without Retry-After and with a text of its own, and its connection was closed because its body was not read to the end. TestPeerRefusal fails before and passes after.

--- a/internal/mesh/node/carry.go
+++ b/internal/mesh/node/carry.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -285,7 +286,7 @@
 	load, _ := strconv.Atoi(response.Header.Get(header.Load))
 	level := levelIn(response.Header)
 	if outcome != header.Ran {
-		response.Body.Close()
+		defer response.Body.Close()
 		return nil, left, refusalOf(response, outcome, level)
 	}
 	body, err := takeBody(response)
@@ -310,19 +311,38 @@
 	return mesh.Class(number)
 }
 
+// maxRefusalBody bounds what is read of a refusal, in bytes.
+const maxRefusalBody = 4 << 10
+
 // refusalOf returns the refusal that a node answered. An answer without a
 // known outcome promises nothing.
 func refusalOf(response *http.Response, outcome header.OutcomeValue, level mesh.Class) (refusal *mesh.Refusal) {
 	code := header.RefusalCode(response.Header.Get(header.Code))
-	if outcome == header.NotRun && code != "" {
-		refusal = mesh.NotRun(code, "refused by the node of the target")
-		refusal.Level = level
-		return refusal
+	if code == "" || outcome != header.NotRun && outcome != header.Unknown {
+		return mesh.Unknown(header.AnswerLost, "the node of the target answered %d without an outcome", response.StatusCode)
+	}
+	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
+	return &mesh.Refusal{
+		Code:       code,
+		Outcome:    outcome,
+		Message:    refusalMessage(response.Body),
+		RetryAfter: time.Duration(seconds) * time.Second,
+		Level:      level,
+	}
+}
+
+// refusalMessage returns the reason that a node gives in the body of a refusal.
+// It reads the body to its end, so that the connection can be used again.
+func refusalMessage(body io.Reader) (message string) {
+	var b refusalBody
+	data, err := io.ReadAll(io.LimitReader(body, maxRefusalBody))
+	if err == nil {
+		err = json.Unmarshal(data, &b)
 	}
-	if outcome == header.Unknown && code != "" {
-		return mesh.Unknown(code, "reported by the node of the target")
+	if err != nil || b.Message == "" {
+		return "the node of the target gave no reason"
 	}
-	return mesh.Unknown(header.AnswerLost, "the node of the target answered %d without an outcome", response.StatusCode)
+	return b.Message
 }
 
 // targetClient sends requests to the targets of this host.
--- a/internal/mesh/node/relay_test.go
+++ b/internal/mesh/node/relay_test.go
@@ -5,6 +5,8 @@
 	"expvar"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -135,3 +137,18 @@
 		}
 	})
 }
+
+// TestPeerRefusal guards against a refusal that loses its reason or its wait
+// on the way back.
+func TestPeerRefusal(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	c := newEcho().NewContext(httptest.NewRequest(http.MethodGet, "/", nil), recorder)
+	want := mesh.Refusal{Code: header.Overloaded, Outcome: header.NotRun, Message: "the target is overloaded", RetryAfter: 2 * time.Second}
+	if err := writeRefusal(c, "", &want); err != nil {
+		t.Fatal(err)
+	}
+	got := refusalOf(recorder.Result(), header.NotRun, mesh.ClassCritical)
+	if *got != want {
+		t.Errorf("got %+v, want %+v", *got, want)
+	}
+}
