share: important requests of an organisation take its tokens first

Cause: an organisation above its rate had its payouts refused as often as anything else, since those that wait for a token were served in their order. Ruled out: tokens kept back for important requests; they would refuse a burst that the contract allows. Conclusion: those that wait stand in the order of their class, and a full queue turns away its least important request. TestImportantRequestsFirst fails without the order. Refusals for rate now carry Retry-After.

--- a/internal/mesh/node/contract_admit.go
+++ b/internal/mesh/node/contract_admit.go
@@ -10,9 +10,13 @@
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
+// rateRetryAfter is the shortest wait that a Retry-After header can state.
+const rateRetryAfter = time.Second
+
 // admitRequest asks for one token of an organisation.
 type admitRequest struct {
 	organisation mesh.OrganisationName
+	class        mesh.Class
 	deadline     time.Time
 	reply        ring.Reply
 }
@@ -27,9 +31,9 @@
 func (admitAnswer) EventName() string { return "admit-answer" }
 
 // Admit takes one token of the organisation, or returns why not.
-func (d *contractDuty) Admit(ctx context.Context, organisation mesh.OrganisationName, deadline time.Time) (refusal *mesh.Refusal) {
+func (d *contractDuty) Admit(ctx context.Context, organisation mesh.OrganisationName, class mesh.Class, deadline time.Time) (refusal *mesh.Refusal) {
 	reply := ring.NewReply()
-	if !d.events.Offer(admitRequest{organisation: organisation, deadline: deadline, reply: reply}) {
+	if !d.events.Offer(admitRequest{organisation: organisation, class: class, deadline: deadline, reply: reply}) {
 		return mesh.NotRun(header.NodeBusy, "the node has no room to check the contract")
 	}
 	select {
@@ -43,7 +47,7 @@
 func (d *contractDuty) admit(now time.Time, e admitRequest) {
 	d.follow(now)
 	d.ticket++
-	verdict, actions := d.ledger.Admit(now, e.organisation, e.deadline, d.ticket)
+	verdict, actions := d.ledger.Admit(now, e.organisation, e.class, e.deadline, d.ticket)
 	switch verdict {
 	case share.Admitted:
 		e.reply.Answer(admitAnswer{})
@@ -70,5 +74,7 @@
 
 func (d *contractDuty) refuse(reply ring.Reply) {
 	d.refused.Add(1)
-	reply.Answer(admitAnswer{refusal: mesh.NotRun(header.RateExceeded, "the organisation is above its rate and burst, or the rest of its contract is out of reach")})
+	refusal := mesh.NotRun(header.RateExceeded, "the organisation is above its rate and burst, or the rest of its contract is out of reach")
+	refusal.RetryAfter = rateRetryAfter
+	reply.Answer(admitAnswer{refusal: refusal})
 }
--- a/internal/mesh/node/contract_test.go
+++ b/internal/mesh/node/contract_test.go
@@ -141,12 +141,12 @@
 func BenchmarkContractAdmit(b *testing.B) {
 	d := startContract(b)
 	deadline := time.Now().Add(time.Hour)
-	for d.Admit(b.Context(), "acme", deadline) != nil {
+	for d.Admit(b.Context(), "acme", mesh.ClassNormal, deadline) != nil {
 		time.Sleep(time.Millisecond)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if refusal := d.Admit(b.Context(), "acme", deadline); refusal != nil {
+		if refusal := d.Admit(b.Context(), "acme", mesh.ClassNormal, deadline); refusal != nil {
 			b.Fatal(refusal)
 		}
 	}
--- a/internal/mesh/node/entry.go
+++ b/internal/mesh/node/entry.go
@@ -38,7 +38,7 @@
 	ctx, cancel := contextFor(c.Request(), in.call.Deadline)
 	defer cancel()
 	if in.call.Organisation != "" {
-		if refusal := f.contract.Admit(ctx, in.call.Organisation, in.call.Deadline); refusal != nil {
+		if refusal := f.contract.Admit(ctx, in.call.Organisation, in.call.Class, in.call.Deadline); refusal != nil {
 			f.measure(started, in.call, refusal)
 			return writeRefusal(c, in.call.ID.String(), refusal)
 		}
--- a/internal/mesh/share/bench_test.go
+++ b/internal/mesh/share/bench_test.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
 )
 
 // BatchSize returns the encoded size of a batch.
@@ -26,7 +28,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now = now.Add(time.Microsecond)
-				if v, _ := l.Admit(now, testOrganisation, now.Add(time.Second), uint64(i)); v != Admitted {
+				if v, _ := l.Admit(now, testOrganisation, mesh.ClassNormal, now.Add(time.Second), uint64(i)); v != Admitted {
 					b.Fatalf("admission %d: got %v, want %v", i, v, Admitted)
 				}
 			}
--- a/internal/mesh/share/change_test.go
+++ b/internal/mesh/share/change_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
 )
 
 // TestLoweredContract guards against a lowered contract that never comes into
@@ -115,3 +117,34 @@
 		t.Errorf("after the lease: got capacity %v, want %v", got, want+One)
 	}
 }
+
+// TestImportantRequestsFirst guards against a payout that is refused while
+// ordinary requests of the same organisation take the tokens that come in.
+func TestImportantRequestsFirst(t *testing.T) {
+	f := newFleet(1, 1, 10, 5)
+	f.settle(time.Second)
+	a := f.addrs[0]
+	for range 5 {
+		f.admitClass(a, mesh.ClassNormal)
+	}
+	var normal, critical []uint64
+	for range 3 {
+		normal = append(normal, f.admitClass(a, mesh.ClassNormal))
+	}
+	for range 2 {
+		critical = append(critical, f.admitClass(a, mesh.ClassCritical))
+	}
+	// Two tokens come in before the patience of those that wait is over.
+	f.settle(2 * patience)
+	for _, ticket := range critical {
+		if got := f.decided[ticket]; !got {
+			t.Errorf("critical request: got a refusal, want a token")
+		}
+	}
+	for _, ticket := range normal {
+		if got := f.decided[ticket]; got {
+			t.Errorf("normal request: got a token, want a refusal")
+		}
+	}
+	f.check(t)
+}
--- a/internal/mesh/share/fleet_test.go
+++ b/internal/mesh/share/fleet_test.go
@@ -16,8 +16,8 @@
 	testLease        = 2 * time.Hour
 )
 
-// letter is a batch on its way between two ledgers.
-type letter struct {
+// message is a batch on its way between two ledgers.
+type message struct {
 	from, to netip.AddrPort
 	batch    Batch
 	reply    bool
@@ -27,24 +27,24 @@
 // fleet is a set of ledgers that exchange batches through a list in memory,
 // with one platform row. Time only passes when a test says so.
 type fleet struct {
-	now     time.Time
-	addrs   []netip.AddrPort
-	zones   map[netip.AddrPort]mesh.ZoneName
-	ledgers map[netip.AddrPort]*Ledger
-	rate    float64
-	burst   float64
-	row     Row
-	hasRow  bool
-	letters []letter
+	now      time.Time
+	addrs    []netip.AddrPort
+	zones    map[netip.AddrPort]mesh.ZoneName
+	ledgers  map[netip.AddrPort]*Ledger
+	rate     float64
+	burst    float64
+	row      Row
+	hasRow   bool
+	inFlight []message
 
-	// archive holds letters that were delivered or lost and may come again.
-	archive []letter
-	jobs    []letterJob
-	nonce   int
-	lives   mesh.Incarnation
-	local   time.Duration
-	remote  time.Duration
-	decided map[uint64]bool
+	// delivered holds inFlight that were delivered or lost and may come again.
+	delivered []message
+	jobs      []issueJob
+	nonce     int
+	lives     mesh.Incarnation
+	local     time.Duration
+	remote    time.Duration
+	decided   map[uint64]bool
 
 	// admissions lists when requests were admitted.
 	admissions []time.Time
@@ -58,8 +58,8 @@
 	slowest time.Duration
 }
 
-// letterJob is an issue on its way to the platform.
-type letterJob struct {
+// issueJob is an issue on its way to the platform.
+type issueJob struct {
 	from  Holder
 	issue Issue
 	asked time.Time
@@ -132,9 +132,9 @@
 			if BatchSize != nil {
 				f.bytes += BatchSize(f.ledgers[from].Self(), x.Batch)
 			}
-			f.letters = append(f.letters, letter{from: from, to: x.To, batch: x.Batch, at: f.now.Add(f.delay(from, x.To))})
+			f.inFlight = append(f.inFlight, message{from: from, to: x.To, batch: x.Batch, at: f.now.Add(f.delay(from, x.To))})
 		case Issue:
-			f.jobs = append(f.jobs, letterJob{from: f.ledgers[from].Self(), issue: x, asked: f.now})
+			f.jobs = append(f.jobs, issueJob{from: f.ledgers[from].Self(), issue: x, asked: f.now})
 		case Decide:
 			f.decide(x.Ticket, x.Admitted)
 		}
@@ -156,17 +156,17 @@
 	return f.remote
 }
 
-// hand delivers a letter; what the receiver says to the sender is its reply.
-func (f *fleet) hand(m letter) {
+// hand delivers a message; what the receiver says to the sender is its reply.
+func (f *fleet) hand(m message) {
 	l := f.ledgers[m.to]
 	if l == nil {
 		return
 	}
 	actions := l.Step(f.now, Delivered{From: m.from, Batch: m.batch, Reply: m.reply})
-	start := len(f.letters)
+	start := len(f.inFlight)
 	f.perform(m.to, actions)
-	for i := range f.letters[start:] {
-		if n := &f.letters[start+i]; n.to == m.from && !m.reply {
+	for i := range f.inFlight[start:] {
+		if n := &f.inFlight[start+i]; n.to == m.from && !m.reply {
 			n.reply = true
 		}
 	}
@@ -174,7 +174,7 @@
 
 // run executes a job at the platform. A lost answer of an applied write is
 // found by its nonce, or not at all.
-func (f *fleet) run(j letterJob, lost bool) {
+func (f *fleet) run(j issueJob, lost bool) {
 	if !f.hasRow {
 		f.row, f.hasRow = NewRow(j.issue.Change.Contract), true
 	}
@@ -197,11 +197,13 @@
 }
 
 // admit asks the node at a for a token and returns the ticket.
-func (f *fleet) admit(a netip.AddrPort) (ticket uint64) {
+func (f *fleet) admit(a netip.AddrPort) (ticket uint64) { return f.admitClass(a, mesh.ClassNormal) }
+
+func (f *fleet) admitClass(a netip.AddrPort, class mesh.Class) (ticket uint64) {
 	f.tickets++
 	ticket = f.tickets
 	f.asked[ticket] = f.now
-	verdict, actions := f.ledgers[a].Admit(f.now, testOrganisation, f.now.Add(time.Second), ticket)
+	verdict, actions := f.ledgers[a].Admit(f.now, testOrganisation, class, f.now.Add(time.Second), ticket)
 	if verdict != Waits {
 		f.decide(ticket, verdict == Admitted)
 	}
@@ -209,7 +211,7 @@
 	return ticket
 }
 
-// advance lets time pass up to the given moment, delivering every letter and
+// advance lets time pass up to the given moment, delivering every message and
 // waking every ledger in the order of their times.
 func (f *fleet) advance(to time.Time) {
 	for steps := 0; ; steps++ {
@@ -234,10 +236,10 @@
 }
 
 func (f *fleet) next() (at time.Time, next func()) {
-	for i, m := range f.letters {
+	for i, m := range f.inFlight {
 		if next == nil || m.at.Before(at) {
 			at, next = m.at, func() {
-				f.letters = slices.Delete(f.letters, i, i+1)
+				f.inFlight = slices.Delete(f.inFlight, i, i+1)
 				f.hand(m)
 			}
 		}
@@ -285,7 +287,7 @@
 			}
 		}
 	}
-	for _, m := range slices.Concat(f.letters, f.archive) {
+	for _, m := range slices.Concat(f.inFlight, f.delivered) {
 		if f.now.Sub(m.batch.Sent) > maxAge {
 			continue
 		}
--- a/internal/mesh/share/invariant_test.go
+++ b/internal/mesh/share/invariant_test.go
@@ -52,7 +52,7 @@
 
 func (c *chaos) step(t *rapid.T) {
 	kind := rapid.SampledFrom([]string{
-		"admit", "admit", "admit", "letter", "letter", "letter", "letter", "lose", "repeat", "repeat", "job", "lose-job",
+		"admit", "admit", "admit", "message", "message", "message", "message", "lose", "repeat", "repeat", "job", "lose-job",
 		"wait", "wait", "pause", "run", "run", "crash", "start", "leave", "lease",
 	}).Draw(t, "step")
 	switch kind {
@@ -60,7 +60,7 @@
 		if a := c.node(t); c.ledgers[a] != nil {
 			c.admit(a)
 		}
-	case "letter", "repeat", "lose":
+	case "message", "repeat", "lose":
 		c.mail(t, kind)
 	case "job", "lose-job":
 		if len(c.jobs) > 0 {
@@ -79,20 +79,20 @@
 	c.check(t)
 }
 
-// mail delivers a letter in any order, maybe once more, or loses it for now.
+// mail delivers a message in any order, maybe once more, or loses it for now.
 func (c *chaos) mail(t *rapid.T, kind string) {
-	from := &c.letters
+	from := &c.inFlight
 	if kind == "repeat" {
-		from = &c.archive
+		from = &c.delivered
 	}
 	if len(*from) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(*from)-1).Draw(t, "letter")
+	i := rapid.IntRange(0, len(*from)-1).Draw(t, "message")
 	m := (*from)[i]
 	if kind != "repeat" {
-		c.letters = slices.Delete(c.letters, i, i+1)
-		c.archive = append(c.archive, m)
+		c.inFlight = slices.Delete(c.inFlight, i, i+1)
+		c.delivered = append(c.delivered, m)
 	}
 	if kind != "lose" {
 		c.hand(m)
--- a/internal/mesh/share/ledger.go
+++ b/internal/mesh/share/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
@@ -87,6 +88,7 @@
 type waiter struct {
 	// ticket names the request; it is unused when peer is valid.
 	ticket uint64
+	class  mesh.Class
 	peer   netip.AddrPort
 	ask    Ask
 	until  time.Time
@@ -134,7 +136,7 @@
 
 // Admit takes one token of the organisation. A request that waits is decided
 // by a later action under its ticket.
-func (l *Ledger) Admit(now time.Time, name mesh.OrganisationName, deadline time.Time, ticket uint64) (v Verdict, actions []Action) {
+func (l *Ledger) Admit(now time.Time, name mesh.OrganisationName, class mesh.Class, deadline time.Time, ticket uint64) (v Verdict, actions []Action) {
 	a, found := l.accounts[name]
 	if !found {
 		return Refused, nil
@@ -149,18 +151,47 @@
 	if len(a.waiting) == 0 && a.take(now) {
 		return Admitted, nil
 	}
-	if len(a.waiting) >= maxWaiting || l.leaving {
+	if l.leaving || len(a.waiting) >= maxWaiting && !l.displace(a, class) {
 		return Refused, nil
 	}
 	until := now.Add(patience)
 	if deadline.Before(until) {
 		until = deadline
 	}
-	a.waiting = append(a.waiting, waiter{ticket: ticket, until: until})
+	a.enqueue(waiter{ticket: ticket, class: class, until: until})
 	l.advance(now, a)
 	return Waits, l.finish(now)
 }
 
+// enqueue puts a request behind those of its class and before the less
+// important ones.
+func (a *account) enqueue(w waiter) {
+	i := slices.IndexFunc(a.waiting, func(o waiter) bool { return o.lessImportant(w.class) })
+	if i < 0 {
+		i = len(a.waiting)
+	}
+	a.waiting = slices.Insert(a.waiting, i, w)
+}
+
+// lessImportant reports whether w is a request of a class below the given one.
+// Peers ask for all classes, so they keep their place.
+func (w waiter) lessImportant(class mesh.Class) bool {
+	return !w.peer.IsValid() && w.class > class
+}
+
+// displace refuses the last request that is less important than class, and
+// reports false when there is none.
+func (l *Ledger) displace(a *account, class mesh.Class) (displaced bool) {
+	for i := len(a.waiting) - 1; i >= 0; i-- {
+		if w := a.waiting[i]; w.lessImportant(class) {
+			a.waiting = slices.Delete(a.waiting, i, i+1)
+			l.turnAway(a, w)
+			return true
+		}
+	}
+	return false
+}
+
 // Step takes in one event and returns what to do.
 func (l *Ledger) Step(now time.Time, event mesh.Event) (actions []Action) {
 	switch e := event.(type) {
