--- a/internal/fault/promise_test.go
+++ b/internal/fault/promise_test.go
@@ -30,6 +30,7 @@
 	insideCluster
 	outageCluster
 	slowCluster
+	aloneCluster
 )
 
 // awaitRefused waits until a request is refused with one of the codes.
@@ -86,7 +87,11 @@
 // read sends an idempotent request over the client's connections and returns
 // the code of its refusal.
 func (c *cluster) read(client *http.Client, host int) (code string) {
-	request, err := http.NewRequest(http.MethodGet, "http://"+c.addr(host, callerPort).String()+"/ledger/x", nil)
+	return c.readPath(client, host, "/ledger/x")
+}
+
+func (c *cluster) readPath(client *http.Client, host int, path string) (code string) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+c.addr(host, callerPort).String()+path, nil)
 	if err != nil {
 		return err.Error()
 	}
@@ -256,6 +261,35 @@
 	c.awaitService()
 }
 
+// TestZoneAlone guards against a zone that stops serving its own targets when
+// it reaches neither other zones nor the platform, and against one that does
+// not find back. Stopped processes and a platform that is down look the same
+// from the zone as a cut.
+func TestZoneAlone(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, aloneCluster)
+	platformFault(downFaults)(c)
+	c.signal(entryHost, syscall.SIGSTOP)
+	c.signal(ledgerHost, syscall.SIGSTOP)
+	client := &http.Client{Timeout: attemptBound}
+	refused := make(map[string]int)
+	for end := time.Now().Add(2 * suspectPause); time.Now().Before(end); time.Sleep(pollPause) {
+		for _, host := range []int{otherHost, balanceHost} {
+			if code := c.readPath(client, host, "/balance/x"); code != "" {
+				refused[code]++
+			}
+		}
+	}
+	if len(refused) > 0 {
+		c.logVars()
+		t.Errorf("got refusals %v, want none", refused)
+	}
+	platformFault(noFaults)(c)
+	c.signal(entryHost, syscall.SIGCONT)
+	c.signal(ledgerHost, syscall.SIGCONT)
+	c.awaitService()
+}
+
 // awaitRead waits until an idempotent request is served.
 func (c *cluster) awaitRead(host int) {
 	c.t.Helper()
