gate: two answers that break off in a row put the limit to the cold limit

Cause: when a target ended and started again within a moment, all its running requests broke off together, each made room for a waiting one, and these met the new life at the old limit before it had announced itself. Ruled out: a restart at the first answer that breaks off; a handler that fails on some requests would keep its target cold. Conclusion: the first one only stops new starts until the next request ends.

--- a/internal/fault/promise_test.go
+++ b/internal/fault/promise_test.go
@@ -31,6 +31,7 @@
 	outageCluster
 	slowCluster
 	aloneCluster
+	coldCluster
 )
 
 // awaitRefused waits until a request is refused with one of the codes.
@@ -290,6 +291,43 @@
 	c.awaitService()
 }
 
+// defaultColdLimit is what a target in a cold start gets at a time when the
+// settings tree says nothing.
+const defaultColdLimit = 2
+
+// TestColdStart guards against a target that has just started and gets more
+// than it bears, while many callers wait for it.
+func TestColdStart(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, coldCluster)
+	var done atomic.Bool
+	var callers sync.WaitGroup
+	for range 40 {
+		callers.Go(func() {
+			client := &http.Client{Timeout: attemptBound}
+			for !done.Load() {
+				c.read(client, entryHost)
+			}
+		})
+	}
+	for range 3 {
+		time.Sleep(500 * time.Millisecond)
+		c.ledger.kill()
+		c.ledger.frozen.Lock()
+		c.ledger.inside.Store(0)
+		c.ledger.start(t)
+		c.ledger.announce()
+		time.Sleep(500 * time.Millisecond)
+		if got := c.ledger.inside.Load(); got > defaultColdLimit {
+			t.Errorf("got %d requests at a cold target, want at most %d", got, defaultColdLimit)
+		}
+		c.ledger.frozen.Unlock()
+	}
+	done.Store(true)
+	callers.Wait()
+	c.awaitService()
+}
+
 // awaitRead waits until an idempotent request is served.
 func (c *cluster) awaitRead(host int) {
 	c.t.Helper()
--- a/internal/fault/standin_test.go
+++ b/internal/fault/standin_test.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -108,6 +109,12 @@
 
 	received, worked, half hold
 
+	// frozen is locked while no request may go on.
+	frozen sync.RWMutex
+
+	// inside is how many requests the target has taken and not answered.
+	inside atomic.Int64
+
 	mu         sync.Mutex
 	server     *http.Server
 	started    time.Time
@@ -223,6 +230,10 @@
 		h.seenKeys++
 	}
 	h.mu.Unlock()
+	h.inside.Add(1)
+	defer h.inside.Add(-1)
+	h.frozen.RLock()
+	defer h.frozen.RUnlock()
 	h.received.pass()
 	if h.deeper != "" {
 		h.callDeeper(r)
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -134,6 +134,9 @@
 	// unreachable is when a connection was last refused, zero after a success.
 	unreachable time.Time
 
+	// doubted is true after an answer broke off, until the next request ends.
+	doubted bool
+
 	// closed is why no request is accepted, nil while the gate is open.
 	closed *mesh.Refusal
 
@@ -238,7 +241,7 @@
 		return
 	}
 	g.standing.arrived++
-	if g.queue.Len() == 0 && len(g.running) < g.limiter.Limit() {
+	if g.queue.Len() == 0 && len(g.running) < g.room() {
 		g.run(now, a.Ticket, a.Call)
 		return
 	}
@@ -296,15 +299,38 @@
 			g.restart(now)
 		}
 		g.unreachable = now
-	case s.life != g.life, f.Lost:
+	case s.life != g.life, f.NotRun:
+	case f.Lost:
+		g.lost(now)
 	case f.Overloaded:
+		g.doubted = false
 		g.limiter.Observe(now, f.Latency, inFlight, true)
-	case f.NotRun:
 	default:
+		g.doubted = false
 		g.observe(now, s, f, inFlight)
 	}
 }
 
+// lost takes in an answer that broke off. A single one may be the fault of its
+// request, two in a row are a target that has ended: its next life is cold. In
+// between nothing more starts, since all requests of an ended target break off
+// together and would be followed by as many.
+func (g *Gate) lost(now time.Time) {
+	if g.doubted {
+		g.restart(now)
+		return
+	}
+	g.doubted = true
+}
+
+// room returns how many requests may run now.
+func (g *Gate) room() (n int) {
+	if g.doubted {
+		return 1
+	}
+	return g.limiter.Limit()
+}
+
 // observe takes in the latency of a request that ran.
 func (g *Gate) observe(now time.Time, s started, f Finished, inFlight int) {
 	if !g.unreachable.IsZero() && !f.TimedOut && !s.at.Before(g.unreachable) {
@@ -327,6 +353,7 @@
 // the earlier life of the target and teach nothing.
 func (g *Gate) restart(now time.Time) {
 	g.life++
+	g.doubted = false
 	g.limiter.Restart(now)
 }
 
@@ -411,7 +438,7 @@
 }
 
 func (g *Gate) start(now time.Time) {
-	for len(g.running) < g.limiter.Limit() {
+	for len(g.running) < g.room() {
 		next, found := g.queue.Pop(now)
 		if !found {
 			return
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -303,6 +303,46 @@
 	}
 }
 
+// TestLostAnswers guards against requests that follow at once on those that
+// broke off when the target ended, and so meet its next life with full force.
+func TestLostAnswers(t *testing.T) {
+	late := testStart.Add(time.Minute)
+	lost := func(t Ticket) mesh.Event { return Finished{Ticket: t, Lost: true} }
+	done := func(t Ticket) mesh.Event { return Finished{Ticket: t, Latency: testWork} }
+	for _, c := range []struct {
+		name string
+		then []mesh.Event
+		want string
+	}{
+		{"one is lost", []mesh.Event{lost(1)}, ""},
+		{"the next one ends well", []mesh.Event{lost(1), done(2)}, "+5 +6 "},
+		{"all are lost", []mesh.Event{lost(1), lost(2), lost(3), lost(4)}, "+5 +6 "},
+	} {
+		g := New(&coldAfter{Fixed: NewFixed(4)}, WithQueue(NewFair(8, 20*time.Millisecond)))
+		for i := range 8 {
+			run(g, testStart, Arrival{Ticket: Ticket(i + 1), Call: testCall(2, "a", late)})
+		}
+		if got := run(g, testStart, c.then...); got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// coldAfter is a limiter that allows two requests after a restart.
+type coldAfter struct {
+	*Fixed
+	cold bool
+}
+
+func (c *coldAfter) Limit() int {
+	if c.cold {
+		return 2
+	}
+	return c.Fixed.Limit()
+}
+
+func (c *coldAfter) Restart(time.Time) { c.cold = true }
+
 // TestTypicalTimeFades guards against a slow period that refuses every
 // request for good, because none runs to show that it is over.
 func TestTypicalTimeFades(t *testing.T) {
