--- a/internal/fault/cluster_test.go
+++ b/internal/fault/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -118,9 +119,50 @@
 	c.balance = newHeldTarget(t, "balance", c.addr(balanceHost, targetPort), c.addr(balanceHost, localPort), "")
 	c.ledger = newHeldTarget(t, "ledger", c.addr(ledgerHost, targetPort), c.addr(ledgerHost, localPort), "/balance/x")
 	c.awaitService()
+	c.awaitShares()
 	return c
 }
 
+// awaitShares waits until a host of each zone holds a share of the contract.
+// A zone that is cut off before can hold none.
+func (c *cluster) awaitShares() {
+	c.t.Helper()
+	for end := time.Now().Add(recoveryBound); time.Now().Before(end); time.Sleep(pollPause) {
+		zones := make(map[mesh.ZoneName]bool)
+		for host, zone := range hostZones {
+			if c.burstAt(host) >= 1 {
+				zones[zone] = true
+			}
+		}
+		if len(zones) == 3 {
+			return
+		}
+	}
+	c.logVars()
+	c.t.Fatalf("not every zone got a share in %v", recoveryBound)
+}
+
+// burstAt returns the burst that a node holds of the organisation's contract.
+func (c *cluster) burstAt(host int) (burst float64) {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + c.addr(host, localPort).String() + "/debug/vars")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	var vars struct {
+		Node struct {
+			Shares map[string]struct {
+				Burst float64 `json:"burst"`
+			} `json:"contract-shares"`
+		} `json:"node"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&vars); err != nil {
+		return 0
+	}
+	return vars.Node.Shares["cebu"].Burst
+}
+
 func (c *cluster) putTree(zoneOut bool) {
 	c.t.Helper()
 	if _, err := admin.Put(context.Background(), c.client, "test", fmt.Appendf(nil, settingsTree, zoneOut)); err != nil {
--- a/internal/fault/promise_test.go
+++ b/internal/fault/promise_test.go
@@ -345,8 +345,9 @@
 // logVars logs the metrics of all nodes, to find the cause of a failure.
 func (c *cluster) logVars() {
 	c.t.Helper()
+	client := http.Client{Timeout: time.Second}
 	for host := range hostCount {
-		response, err := http.Get("http://" + c.addr(host, localPort).String() + "/debug/vars")
+		response, err := client.Get("http://" + c.addr(host, localPort).String() + "/debug/vars")
 		if err != nil {
 			c.t.Logf("host %d: %v", host, err)
 			continue
--- a/internal/mesh/node/contract.go
+++ b/internal/mesh/node/contract.go
@@ -62,6 +62,7 @@
 
 	refused, sent *expvar.Int
 	pending       *expvar.Map
+	shares        *expvar.Map
 }
 
 func newContractDuty(vars *expvar.Map, s Settings, config *configDuty, log logs.Log) (d *contractDuty) {
@@ -76,10 +77,12 @@
 		refused: new(expvar.Int),
 		sent:    new(expvar.Int),
 		pending: new(expvar.Map).Init(),
+		shares:  new(expvar.Map).Init(),
 	}
 	vars.Set("contract-rate-refusals", d.refused)
 	vars.Set("contract-messages", d.sent)
 	vars.Set("contract-pending", d.pending)
+	vars.Set("contract-shares", d.shares)
 	return d
 }
 
@@ -102,7 +105,7 @@
 			d.perform(d.ledger.Step(time.Now(), share.Woken{}))
 		case <-follow.C:
 			d.follow(time.Now())
-			d.showPending()
+			d.show(time.Now())
 		}
 		d.setWake(wake)
 	}
@@ -162,21 +165,29 @@
 	}))
 }
 
-// showPending publishes the part of each lowered contract that is not yet in
-// force.
-func (d *contractDuty) showPending() {
+// show publishes what this node holds of each contract, and the part of each
+// lowered one that is not yet in force.
+func (d *contractDuty) show(now time.Time) {
 	for _, name := range d.ledger.Organisations() {
+		d.shares.Set(string(name), showParcel(d.ledger.Held(now, name)))
 		p := d.ledger.Pending(name)
 		if p.Rate <= 0 && p.Capacity <= 0 {
 			d.pending.Delete(string(name))
 			continue
 		}
-		rate, burst := new(expvar.Float), new(expvar.Float)
-		rate.Set(p.Rate.Requests())
-		burst.Set(p.Capacity.Requests())
-		row := new(expvar.Map).Init()
-		row.Set("rate", rate)
-		row.Set("burst", burst)
-		d.pending.Set(string(name), row)
+		d.pending.Set(string(name), showParcel(p))
 	}
 }
+
+func showParcel(p share.Parcel) (vars *expvar.Map) {
+	vars = new(expvar.Map).Init()
+	for _, v := range []struct {
+		name   string
+		amount share.Amount
+	}{{"rate", p.Rate}, {"burst", p.Capacity}, {"tokens", p.Tokens}} {
+		n := new(expvar.Float)
+		n.Set(v.amount.Requests())
+		vars.Set(v.name, n)
+	}
+	return vars
+}
