--- a/internal/mesh/shape_test.go
+++ b/internal/mesh/shape_test.go
@@ -15,7 +15,7 @@
 // decisionPackages hold the decisions, which must work with any front end and
 // any encoding.
 var decisionPackages = []string{
-	"internal/mesh", "internal/mesh/calls", "internal/mesh/claim", "internal/mesh/config", "internal/mesh/gate",
+	"internal/mesh", "internal/mesh/calls", "internal/mesh/claim", "internal/mesh/config", "internal/mesh/gate", "internal/mesh/gather",
 	"internal/mesh/retry", "internal/mesh/roster", "internal/mesh/route", "internal/mesh/share", "internal/mesh/tree",
 }
 
