node: write claims through the gatherers of the zone

Each node wrote its claims at the platform itself, in one transaction for each batch. Now three hosts of each zone, chosen by rendezvous hashing over the live hosts of the roster view, take the batches of the others. A gatherer, and a node that knows none, writes directly as before, so nothing changes in a zone of up to three hosts. Reads and unconditional writes stay direct.

A batch that the gatherer did not send goes to the platform directly. After silence the outcome is unknown and the claim book reads the row, as for any lost answer; the gatherer then gets nothing for 2 s. Four senders of their own share a ring, as many as the book has batches under way, so that a slow gatherer holds up no other batch. The peer senders were ruled out: they replace messages and one slow peer holds up those behind it.

Generating gather.proto renumbers descriptors in roster.twirp.go and share.twirp.go; nothing else changes there.

TestGathererStops and TestGathererOfFleet pass with -race (6 and 2 runs).

--- a/internal/mesh/node/claim.go
+++ b/internal/mesh/node/claim.go
@@ -34,6 +34,9 @@
 	// keep returns the setting claim-keep in force.
 	keep func() time.Duration
 
+	// gatherers is nil when all claims are written at the platform directly.
+	gatherers *gatherers
+
 	// claims and releases hold the reply rings of those that wait.
 	claims   map[*mesh.Call]ring.Reply
 	releases map[*mesh.Call]ring.Reply
@@ -137,6 +140,9 @@
 
 func (d *claimDuty) handle(now time.Time, e mesh.Event) {
 	switch r := e.(type) {
+	case gatherEnded:
+		d.gathered(now, r)
+		return
 	case claimRequest:
 		d.claims[r.call] = r.reply
 		e = claim.Wanted{Call: r.call, Keep: d.keep()}
@@ -161,7 +167,9 @@
 				reply.Answer(claimAnswer{})
 			}
 		case claim.Commit:
-			d.post(now, a.Batch, commitClaims{events: d.events, commit: a})
+			if !d.gatherers.offer(now, d.events, a) {
+				d.post(now, a.Batch, commitClaims{events: d.events, commit: a})
+			}
 		case claim.Fetch:
 			d.post(now, a.Batch, fetchClaims{events: d.events, fetch: a})
 		case claim.List:
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -101,6 +101,8 @@
 	gates := newGateDuty(vars, versions, logs.For(n.logger, "gate"))
 	book := newCallsDuty(vars)
 	claims := newClaimDuty(vars, platform, versions.claimKeep, logs.For(n.logger, "claim"))
+	claims.gatherers = newGatherers(vars, s, hosts.View)
+	shared := newGatherDuty(vars, platform)
 	routes := newRouteDuty(vars, versions, hosts)
 	meter := newMeterDuty(vars)
 	n.front = &front{
@@ -110,11 +112,12 @@
 		carrier: &peerCarrier{transport: newTransport(0), signer: signer, config: versions},
 		targets: &targetClient{transport: newTransport(0), signer: signer},
 	}
-	n.duties = []mesh.Duty{platform, hosts, versions, contract, gates, book, claims, routes, meter}
+	n.duties = []mesh.Duty{platform, hosts, versions, contract, gates, book, claims, shared, routes, meter}
+	n.duties = append(n.duties, newBatchSenders(claims.gatherers, control, logs.For(n.logger, "gather"))...)
 	for _, d := range out {
 		n.duties = append(n.duties, d)
 	}
-	n.servers = n.makeServers(signer, versions, hosts)
+	n.servers = n.makeServers(signer, versions, hosts, shared)
 }
 
 // server is one listener with its handler.
@@ -127,7 +130,7 @@
 	listener net.Listener
 }
 
-func (n *Node) makeServers(signer *wire.Signer, config wire.Config, hosts wire.Roster) (servers []*server) {
+func (n *Node) makeServers(signer *wire.Signer, config wire.Config, hosts wire.Roster, shared wire.Gather) (servers []*server) {
 	caller := newEcho()
 	caller.Any("/*", n.front.entry)
 
@@ -142,6 +145,7 @@
 	control.Handle(wire.ConfigPathPrefix, wire.NewConfigServer(config))
 	control.Handle(wire.RosterPathPrefix, wire.NewRosterServer(hosts))
 	control.Handle(wire.SharesPathPrefix, wire.NewSharesServer(n.front.contract))
+	control.Handle(wire.GatherPathPrefix, wire.NewGatherServer(shared))
 	peer.Any("/twirp/*", echo.WrapHandler(signer.Verify(control)))
 
 	return []*server{
--- a/internal/mesh/wire/roster.twirp.go
+++ b/internal/mesh/wire/roster.twirp.go
@@ -1065,7 +1065,7 @@
 }
 
 func (s *rosterServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *rosterServer) ProtocGenTwirpVersion() string {
@@ -1079,7 +1079,7 @@
 	return baseServicePath(s.pathPrefix, "quetzal.wire", "Roster")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 570 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x54, 0xcd, 0x6e, 0x13, 0x31,
 	0x10, 0xd6, 0x36, 0xc9, 0x6e, 0x76, 0xda, 0x08, 0xc9, 0x2a, 0xb0, 0x0a, 0x42, 0x44, 0x7b, 0x8a,
--- a/internal/mesh/wire/share.twirp.go
+++ b/internal/mesh/wire/share.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *sharesServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *sharesServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "quetzal.wire", "Shares")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 587 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x94, 0xcf, 0x6e, 0xd3, 0x4e,
 	0x10, 0xc7, 0xe5, 0xd8, 0x71, 0x93, 0x49, 0xfb, 0x3b, 0xac, 0xaa, 0xfe, 0x96, 0x22, 0x81, 0x95,
