--- a/internal/mesh/node/contract_peer.go
+++ b/internal/mesh/node/contract_peer.go
@@ -15,9 +15,9 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
 )
 
-// shareTimeout bounds one message about shares. It is short, since a peer that
-// does not answer holds up the messages of its sender to others.
-const shareTimeout = 300 * time.Millisecond
+// shareTimeout bounds one message about shares. It is shorter than requests wait
+// for tokens, since a peer that does not answer holds up its sender once.
+const shareTimeout = 150 * time.Millisecond
 
 // deliverRequest brings a message of a peer, which waits for the answer.
 type deliverRequest struct {
--- a/internal/mesh/node/latency_test.go
+++ b/internal/mesh/node/latency_test.go
@@ -49,12 +49,7 @@
 // freeAddr returns a loopback address with a port that is free now.
 func freeAddr(tb testing.TB) (addr netip.AddrPort) {
 	tb.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return freePort(tb, "127.0.0.1")
 }
 
 // startNode runs a node until the test ends.
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -90,14 +91,15 @@
 	s, vars := n.settings, n.vars
 	n.bytes = newPeerBytes(vars)
 	control := &http.Client{Transport: &wire.Transport{Signer: signer, Base: n.bytes.controlTransport()}}
-	out := newSenders(vars, logs.For(n.logger, "sender"))
+	out := newSenders(vars, "sender", logs.For(n.logger, "sender"))
+	shares := newSenders(vars, "share-sender", logs.For(n.logger, "sender"))
 	platform := newPlatformDuty(vars, n.platform)
 	hosts := newRosterDuty(vars, s, logs.For(n.logger, "roster"))
 	hosts.senders, hosts.client, hosts.platform = out, control, platform
 	versions := newConfigDuty(vars, s, logs.For(n.logger, "config"))
 	versions.senders, versions.client, versions.platform, versions.roster = out, control, platform, hosts
 	contract := newContractDuty(vars, s, versions, logs.For(n.logger, "contract"))
-	contract.senders, contract.client, contract.platform, contract.roster = out, control, platform, hosts
+	contract.senders, contract.client, contract.platform, contract.roster = shares, control, platform, hosts
 	gates := newGateDuty(vars, versions, logs.For(n.logger, "gate"))
 	book := newCallsDuty(vars)
 	claims := newClaimDuty(vars, platform, versions.claimKeep, logs.For(n.logger, "claim"))
@@ -114,7 +116,7 @@
 	}
 	n.duties = []mesh.Duty{platform, hosts, versions, contract, gates, book, claims, shared, routes, meter}
 	n.duties = append(n.duties, newBatchSenders(claims.gatherers, control, logs.For(n.logger, "gather"))...)
-	for _, d := range out {
+	for _, d := range slices.Concat(out, shares) {
 		n.duties = append(n.duties, d)
 	}
 	n.servers = n.makeServers(signer, versions, hosts, shared)
--- a/internal/mesh/node/roster_fleet_test.go
+++ b/internal/mesh/node/roster_fleet_test.go
@@ -99,7 +99,7 @@
 
 // freePort returns a port that nothing listens at. No process may be started
 // meanwhile: it would hold the port open until it has loaded its program.
-func freePort(t *testing.T, ip string) (addr netip.AddrPort) {
+func freePort(t testing.TB, ip string) (addr netip.AddrPort) {
 	t.Helper()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
--- a/internal/mesh/node/sender.go
+++ b/internal/mesh/node/sender.go
@@ -27,18 +27,24 @@
 	// senderRing is how many control messages wait at one sender.
 	senderRing = 256
 
-	// sendTimeout bounds one control message.
-	sendTimeout = time.Second
+	// sendTimeout bounds one control message to a peer that has answered so
+	// far, and slowTimeout one to a peer that has not.
+	sendTimeout = 300 * time.Millisecond
+	slowTimeout = time.Second
 )
 
 // senderDuty sends control messages to a part of the peers. Full ring: the
 // message that waits longest gives way; a newer message to the same peer of
 // the same kind replaces the older one.
 type senderDuty struct {
-	number   int
+	name     string
 	messages *ring.Latest
-	failing  *failingPeers
-	log      logs.Log
+
+	// slow is true for the senders to peers whose last message failed.
+	slow    bool
+	failing *failingPeers
+	all     senders
+	log     logs.Log
 }
 
 // failingPeers is the set of peers whose last message failed.
@@ -66,16 +72,21 @@
 // senders is the fixed set of sender duties, those to slow peers last.
 type senders []*senderDuty
 
-func newSenders(vars *expvar.Map, log logs.Log) (s senders) {
+// newSenders returns a set of senders whose rings are published under name.
+func newSenders(vars *expvar.Map, name string, log logs.Log) (s senders) {
 	failing := &failingPeers{peers: make(map[netip.AddrPort]bool)}
 	for i := range senderCount + slowSenderCount {
 		s = append(s, &senderDuty{
-			number:   i,
-			messages: ring.NewLatest(vars, fmt.Sprintf("sender-%d", i), senderRing),
+			name:     fmt.Sprintf("%s-%d", name, i),
+			messages: ring.NewLatest(vars, fmt.Sprintf("%s-%d", name, i), senderRing),
+			slow:     i >= senderCount,
 			failing:  failing,
 			log:      log,
 		})
 	}
+	for _, d := range s {
+		d.all = s
+	}
 	return s
 }
 
@@ -96,7 +107,7 @@
 }
 
 // Name implements mesh.Duty.
-func (d *senderDuty) Name() string { return fmt.Sprintf("sender-%d", d.number) }
+func (d *senderDuty) Name() string { return d.name }
 
 // Run implements mesh.Duty.
 func (d *senderDuty) Run(ctx context.Context) (err error) {
@@ -116,12 +127,23 @@
 		if !found {
 			return
 		}
-		d.send(ctx, e.(mesh.Message))
+		m := e.(mesh.Message)
+		if !d.slow && d.failing.contains(m.To()) {
+			// It was posted before the peer was known to hang. Of each kind of
+			// message such a peer only gets the newest.
+			d.all.Post(m)
+			continue
+		}
+		d.send(ctx, m)
 	}
 }
 
 func (d *senderDuty) send(ctx context.Context, m mesh.Message) {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	timeout := sendTimeout
+	if d.slow {
+		timeout = slowTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := m.Send(ctx)
 	d.failing.set(m.To(), err != nil)
