--- /dev/null
+++ b/internal/mesh/share/leave.go
@@ -0,0 +1,92 @@
+package share
+
+import (
+	"slices"
+	"time"
+)
+
+// leave gives all shares away: borrowed lots to their lenders, and lots that
+// the platform issued, with the loans out of them, to an heir.
+func (l *Ledger) leave(now time.Time) {
+	l.leaving, l.left = true, now
+	for _, name := range l.names {
+		a := l.accounts[name]
+		for _, w := range a.waiting {
+			l.turnAway(a, w)
+		}
+		a.waiting, a.issue.at = nil, time.Time{}
+		for _, o := range slices.Clone(a.lots) {
+			if o.root() {
+				l.handOver(now, a, o)
+			} else {
+				l.giveBack(now, a, o, Parcel{Rate: o.rate, Capacity: o.capacity, Tokens: o.capacity})
+			}
+		}
+	}
+}
+
+// handOver passes a lot on to the heir. When nothing was heard of the heir
+// yet, it is greeted first, and its answer names its life.
+func (l *Ledger) handOver(now time.Time, a *account, o *lot) {
+	if l.places == nil || !o.until.After(now) {
+		return
+	}
+	heir, found := l.places.heir(a.name)
+	if !found {
+		return
+	}
+	p := l.peer(heir)
+	if p.life == 0 {
+		l.to(heir)
+		return
+	}
+	t := Transfer{
+		Organisation: a.name, Kind: HandOver, Life: p.life, Root: o.key.Root,
+		Parcel: a.split(now, o, Parcel{Rate: o.rate, Capacity: o.capacity, Tokens: o.capacity}),
+		Issued: o.issued, Burnt: o.burnt,
+	}
+	for k, n := range a.loans {
+		if k.root == o.key.Root {
+			t.Loans = append(t.Loans, LoanRow{Borrower: k.borrower, Parcel: n.parcel, Left: n.end.Sub(now)})
+		}
+	}
+	a.forget(o.key.Root)
+	a.drop(now, o)
+	l.post(now, heir, t, o.until)
+}
+
+// applyHandOver makes this node the holder of a lot of a node that leaves.
+func (l *Ledger) applyHandOver(now time.Time, a *account, _ Holder, t Transfer) (applied bool) {
+	if _, found := a.source(t.Root); found || l.leaving || t.Lease <= 0 {
+		return false
+	}
+	o := a.lot(now, Key{Root: t.Root}, now.Add(t.Lease), false)
+	a.add(now, o, t.Parcel)
+	o.issued, o.burnt = t.Issued, t.Burnt
+	for _, r := range t.Loans {
+		// Loans of a predecessor are restored by time only: a later life of
+		// the borrower may be known here already.
+		end := now.Add(r.Left + leaseMargin)
+		a.loans[loanKey{borrower: r.Borrower, root: t.Root}] = &loan{parcel: r.Parcel, until: now, end: end}
+	}
+	a.issue.at = now
+	a.careAt = now.Add(careInterval)
+	l.lower(now, a)
+	return true
+}
+
+// Left reports whether a node that leaves has given everything away. Lots that
+// nobody can take return when their lease ends.
+func (l *Ledger) Left() (left bool) {
+	if !l.leaving || !l.Settled() {
+		return false
+	}
+	for _, a := range l.accounts {
+		for _, o := range a.lots {
+			if _, found := l.places.heir(a.name); found && o.root() && o.until.After(l.left) {
+				return false
+			}
+		}
+	}
+	return true
+}
