node: a connection that counts nothing proves nothing

Cause: an exchange over a connection of another type counted as not sent, so its failure would have been answered not run. No transport of the node makes such connections today. TestUncountedConnection before: sent false after the request went out; after: sent true.

--- a/internal/mesh/node/carry.go
+++ b/internal/mesh/node/carry.go
@@ -132,11 +132,15 @@
 
 func (u *connUse) got(info httptrace.GotConnInfo) {
 	u.earlier = u.wrote()
-	u.conn, _ = info.Conn.(*countedConn)
-	if u.conn != nil {
-		u.before = u.conn.written.Load()
-		u.conn.readBefore.Store(notWritten)
+	var counted bool
+	u.conn, counted = info.Conn.(*countedConn)
+	if !counted {
+		// Nothing proves that such a connection wrote nothing.
+		u.earlier = true
+		return
 	}
+	u.before = u.conn.written.Load()
+	u.conn.readBefore.Store(notWritten)
 }
 
 // answered runs in the only goroutine that reads from the connection, before it
--- a/internal/mesh/node/relay_test.go
+++ b/internal/mesh/node/relay_test.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -152,3 +153,17 @@
 		t.Errorf("got %+v, want %+v", *got, want)
 	}
 }
+
+// TestUncountedConnection guards against "not run" after a request went out on
+// a connection that does not count what is written to it.
+func TestUncountedConnection(t *testing.T) {
+	target := newScripted(t, func(int, net.Conn, *http.Request) bool { return false })
+	request, err := newRequest(t.Context(), target.addr(), "/pay", &mesh.Payload{Method: http.MethodPost, Header: http.Header{}, Body: []byte("body")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, sent, err := exchange(t.Context(), &http.Transport{}, request)
+	if err == nil || !sent {
+		t.Errorf("got error %v and sent %t, want an error after the request was sent", err, sent)
+	}
+}
