node: a slow platform does not hold back versions behind claims and shares

Cause: a head read was given up after 1 s, so a platform that takes a second for an answer let through one in a few, and every read waited in one queue with claims, shares and zone rows. Ruled out: a priority in one queue; the job at work cannot be interrupted. Conclusion: a platform slower than 2 s an answer counts as down.

--- a/internal/fault/matrix_test.go
+++ b/internal/fault/matrix_test.go
@@ -143,7 +143,9 @@
 const attemptBound = 6 * time.Second
 
 // payout sends one non-idempotent request as a caller would.
-func (c *cluster) payout(host int, id string) (r result) {
+func (c *cluster) payout(host int, id string) (r result) { return c.payoutWith(c.key, host, id) }
+
+func (c *cluster) payoutWith(key string, host int, id string) (r result) {
 	ctx, cancel := context.WithTimeout(context.Background(), attemptBound)
 	defer cancel()
 	url := "http://" + c.addr(host, callerPort).String() + "/ledger/payouts"
@@ -151,7 +153,7 @@
 	if err != nil {
 		return r
 	}
-	request.Header.Set("Authorization", "Bearer "+c.key)
+	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set(header.RequestID, id)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
--- a/internal/fault/promise_test.go
+++ b/internal/fault/promise_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
@@ -31,6 +32,7 @@
 	outageCluster
 	slowCluster
 	aloneCluster
+	slowKeyCluster
 	coldCluster
 )
 
@@ -262,6 +264,54 @@
 	c.awaitService()
 }
 
+// TestWithdrawalOnSlowPlatform guards against a withdrawal that waits behind
+// the claims of many requests while the platform is slow.
+func TestWithdrawalOnSlowPlatform(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, slowKeyCluster)
+	keep := c.key
+	c.giveKey()
+	c.awaitNewKey()
+	withdrawn := c.key
+	platformFault(stub.Faults{Delay: time.Second})(c)
+	var done atomic.Bool
+	var callers sync.WaitGroup
+	for range 40 {
+		callers.Go(func() {
+			for !done.Load() {
+				c.payoutWith(keep, ledgerHost, newID(t))
+				c.payoutWith(keep, entryHost, newID(t))
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	if _, err := admin.Withdraw(context.Background(), c.client, "test", mesh.HashKey(withdrawn)); err != nil {
+		t.Fatal(err)
+	}
+	accepted := time.Now()
+	c.awaitAllRefused(header.KeyWithdrawn)
+	t.Logf("in force on all hosts %v after it was accepted", time.Since(accepted))
+	done.Store(true)
+	platformFault(noFaults)(c)
+	callers.Wait()
+}
+
+// awaitAllRefused waits until all hosts refuse the cluster's key.
+func (c *cluster) awaitAllRefused(code header.RefusalCode) {
+	c.t.Helper()
+	client := &http.Client{Timeout: attemptBound}
+	refused := make(map[int]bool)
+	for end := time.Now().Add(recoveryBound); time.Now().Before(end); time.Sleep(pollPause) {
+		for host := range hostCount {
+			refused[host] = refused[host] || c.read(client, host) == string(code)
+		}
+		if len(refused) == hostCount && refused[0] && refused[1] && refused[2] && refused[3] {
+			return
+		}
+	}
+	c.t.Fatalf("got refusals at hosts %v after %v, want %s at all", refused, recoveryBound, code)
+}
+
 // TestZoneAlone guards against a zone that stops serving its own targets when
 // it reaches neither other zones nor the platform, and against one that does
 // not find back. Stopped processes and a platform that is down look the same
--- a/internal/mesh/node/claim_test.go
+++ b/internal/mesh/node/claim_test.go
@@ -106,7 +106,7 @@
 // runClaims starts a claim duty with its platform duty.
 func runClaims(ctx context.Context, platform mesh.Platform) (d *claimDuty) {
 	vars := new(expvar.Map)
-	p := newPlatformDuty(vars, platform)
+	p := newPlatformDuty(vars, "platform", platform)
 	d = newClaimDuty(vars, p, func() time.Duration { return 24 * time.Hour }, quietLog())
 	go func() { _ = p.Run(ctx) }()
 	go func() { _ = d.Run(ctx) }()
--- a/internal/mesh/node/config.go
+++ b/internal/mesh/node/config.go
@@ -49,13 +49,16 @@
 	state    *config.State
 	events   *ring.Ring
 	platform *platformDuty
-	senders  senders
-	roster   *rosterDuty
-	client   *http.Client
-	view     atomic.Pointer[config.View]
-	held     atomic.Pointer[held]
-	seeds    []netip.AddrPort
-	log      logs.Log
+
+	// records writes the row of the zone, which may wait longer.
+	records *platformDuty
+	senders senders
+	roster  *rosterDuty
+	client  *http.Client
+	view    atomic.Pointer[config.View]
+	held    atomic.Pointer[held]
+	seeds   []netip.AddrPort
+	log     logs.Log
 
 	started time.Time
 
--- a/internal/mesh/node/configstore.go
+++ b/internal/mesh/node/configstore.go
@@ -17,8 +17,9 @@
 
 const (
 	// headTimeout bounds a read of the head, so that one that hangs does not
-	// hold up the jobs behind it for long.
-	headTimeout = time.Second
+	// hold up the jobs behind it for long. A platform that takes a second for
+	// an answer must still spread a withdrawal.
+	headTimeout = 2 * time.Second
 
 	// updateTimeout bounds the reads that lead to a new version.
 	updateTimeout = 5 * time.Second
@@ -147,7 +148,7 @@
 		return
 	}
 	report.At = now
-	d.row.writing = d.platform.jobs.Offer(writeRow{events: d.events, report: report, text: string(text)})
+	d.row.writing = d.records.jobs.Offer(writeRow{events: d.events, report: report, text: string(text)})
 }
 
 // zoneReport returns what is known about this zone, without a time.
--- a/internal/mesh/node/contract_test.go
+++ b/internal/mesh/node/contract_test.go
@@ -126,7 +126,7 @@
 	s := Settings{Zone: "a", PeerListen: testHolder(1).Addr}
 	d = newContractDuty(vars, s, newConfigDuty(vars, s, log), log)
 	d.roster = newRosterDuty(vars, s, log)
-	d.platform = newPlatformDuty(vars, &table{rows: make(map[string]mesh.Row)})
+	d.platform = newPlatformDuty(vars, "platform", &table{rows: make(map[string]mesh.Row)})
 	d.follow(time.Now())
 	d.perform(d.ledger.Step(time.Now(), share.Configured{
 		Contracts: map[mesh.OrganisationName]mesh.Contract{"acme": {Rate: 1e9, Burst: 1e9}}, Zones: 1, Lease: time.Hour,
--- a/internal/mesh/node/gather_test.go
+++ b/internal/mesh/node/gather_test.go
@@ -34,7 +34,7 @@
 	tb.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	vars := new(expvar.Map)
-	p := newPlatformDuty(vars, platform)
+	p := newPlatformDuty(vars, "platform", platform)
 	d := newGatherDuty(vars, p)
 	go func() { _ = p.Run(ctx) }()
 	go func() { _ = d.Run(ctx) }()
@@ -64,7 +64,7 @@
 // runGathered starts a claim duty that writes through gatherers.
 func runGathered(ctx context.Context, platform mesh.Platform, order ...netip.AddrPort) (d *claimDuty) {
 	vars := new(expvar.Map)
-	p := newPlatformDuty(vars, platform)
+	p := newPlatformDuty(vars, "platform", platform)
 	d = newClaimDuty(vars, p, func() time.Duration { return 24 * time.Hour }, quietLog())
 	d.gatherers = newGatherers(vars, Settings{}, func() *roster.View { return nil })
 	d.gatherers.order = order
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -93,18 +93,22 @@
 	control := &http.Client{Transport: &wire.Transport{Signer: signer, Base: n.bytes.controlTransport()}}
 	out := newSenders(vars, "sender", logs.For(n.logger, "sender"))
 	shares := newSenders(vars, "share-sender", logs.For(n.logger, "sender"))
-	platform := newPlatformDuty(vars, n.platform)
+	// Settings, keys and hosts do not wait behind the claims and shares of many
+	// requests when the platform is slow.
+	platform := newPlatformDuty(vars, "platform", n.platform)
+	records := newPlatformDuty(vars, "platform-records", n.platform)
 	hosts := newRosterDuty(vars, s, logs.For(n.logger, "roster"))
 	hosts.senders, hosts.client, hosts.platform = out, control, platform
 	versions := newConfigDuty(vars, s, logs.For(n.logger, "config"))
-	versions.senders, versions.client, versions.platform, versions.roster = out, control, platform, hosts
+	versions.senders, versions.client, versions.roster = out, control, hosts
+	versions.platform, versions.records = platform, records
 	contract := newContractDuty(vars, s, versions, logs.For(n.logger, "contract"))
-	contract.senders, contract.client, contract.platform, contract.roster = shares, control, platform, hosts
+	contract.senders, contract.client, contract.platform, contract.roster = shares, control, records, hosts
 	gates := newGateDuty(vars, versions, logs.For(n.logger, "gate"))
 	book := newCallsDuty(vars)
-	claims := newClaimDuty(vars, platform, versions.claimKeep, logs.For(n.logger, "claim"))
+	claims := newClaimDuty(vars, records, versions.claimKeep, logs.For(n.logger, "claim"))
 	claims.gatherers = newGatherers(vars, s, hosts.View)
-	shared := newGatherDuty(vars, platform)
+	shared := newGatherDuty(vars, records)
 	routes := newRouteDuty(vars, versions, hosts)
 	meter := newMeterDuty(vars)
 	n.front = &front{
@@ -114,7 +118,7 @@
 		carrier: &peerCarrier{transport: newTransport(0), signer: signer, config: versions},
 		targets: &targetClient{transport: newTransport(0), signer: signer},
 	}
-	n.duties = []mesh.Duty{platform, hosts, versions, contract, gates, book, claims, shared, routes, meter}
+	n.duties = []mesh.Duty{platform, records, hosts, versions, contract, gates, book, claims, shared, routes, meter}
 	n.duties = append(n.duties, newBatchSenders(claims.gatherers, control, logs.For(n.logger, "gather"))...)
 	for _, d := range slices.Concat(out, shares) {
 		n.duties = append(n.duties, d)
--- a/internal/mesh/node/platform.go
+++ b/internal/mesh/node/platform.go
@@ -18,19 +18,20 @@
 	Do(ctx context.Context, platform mesh.Platform)
 }
 
-// platformDuty is the only one that talks to the platform, so that a slow
-// platform holds up nothing else. Full ring: the job is refused.
+// platformDuty talks to the platform for other duties, so that a slow platform
+// holds up none of them. Full ring: the job is refused.
 type platformDuty struct {
+	name     string
 	platform mesh.Platform
 	jobs     *ring.Ring
 }
 
-func newPlatformDuty(vars *expvar.Map, platform mesh.Platform) (d *platformDuty) {
-	return &platformDuty{platform: platform, jobs: ring.New(vars, "platform", platformRing)}
+func newPlatformDuty(vars *expvar.Map, name string, platform mesh.Platform) (d *platformDuty) {
+	return &platformDuty{name: name, platform: platform, jobs: ring.New(vars, name, platformRing)}
 }
 
 // Name implements mesh.Duty.
-func (d *platformDuty) Name() string { return "platform" }
+func (d *platformDuty) Name() string { return d.name }
 
 // Run implements mesh.Duty.
 func (d *platformDuty) Run(ctx context.Context) (err error) {
