--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -117,7 +117,7 @@
 		t.Errorf("withdrawn keys: got %d, want 2", got)
 	}
 	d.run(1, []string{"no such key"}, "key", "withdraw", "nonsense")
-	d.run(3, []string{"newest version: 5", "changes of keys pending: 2", "targets: ledger 4"}, func() []string {
+	d.run(3, []string{"newest version: 5", "changes of keys pending: 2", "targets: ledger 4", "o: ", " requests a second, burst "}, func() []string {
 		d.report(admin.ZoneReport{Zone: "a", InForce: 3, Hosts: 2, At: time.Now(), Targets: map[mesh.ServiceName]int{"ledger": 4}})
 		return []string{"status"}
 	}()...)
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -14,6 +14,7 @@
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/parse"
 )
 
 // statusHistory is how many changes status looks at for pending keys.
@@ -29,7 +30,8 @@
   Shows the newest version, and for each zone the version in force at all its
   live hosts, the hosts and changes of keys that are pending, and the targets
   that take work. A zone tells this through the platform, so the age of its
-  report is shown too: a zone that is cut off keeps its last report.
+  report is shown too: a zone that is cut off keeps its last report. Then come
+  the rate and burst of each organisation in the newest version.
 ` + operatorUsage
 }
 
@@ -57,6 +59,9 @@
 	for _, z := range progress.Zones {
 		c.zone(time.Now(), z, heads)
 	}
+	if err := c.contracts(ctx, platform); err != nil {
+		return fail(c.err, err)
+	}
 	if progress.Pending() {
 		return exitPending
 	}
@@ -73,6 +78,24 @@
 	fmt.Fprintf(c.out, "  targets: %s\n", targetList(z.Report.Targets))
 }
 
+// contracts prints what each organisation may send in the newest version.
+func (c *statusCommand) contracts(ctx context.Context, platform mesh.Platform) (err error) {
+	_, snapshot, err := admin.Current(ctx, platform)
+	if err != nil {
+		return err
+	}
+	newest, err := parse.Tree(snapshot.Text)
+	if err != nil {
+		return err
+	}
+	contracts := newest.Index("").Contracts
+	for _, name := range slices.Sorted(maps.Keys(contracts)) {
+		k := contracts[name]
+		fmt.Fprintf(c.out, "%s: %g requests a second, burst %g, over all hosts together\n", name, k.Rate, k.Burst)
+	}
+	return nil
+}
+
 // keysPending counts the changes of keys after a version.
 func keysPending(heads []admin.Head, inForce uint64) (count int) {
 	for _, h := range heads {
