node: one way to arm a timer; the benchmark of gatherers measures the order in use

Three duties armed their timers with copies of the same code; a constant and a method without users are gone. BenchmarkGather still spread the nodes over three gatherers, which they no longer do.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -17,9 +17,8 @@
 
 // Exit statuses.
 const (
-	exitOK      = int(subcommands.ExitSuccess)
-	exitFailure = int(subcommands.ExitFailure)
-	exitUsage   = int(subcommands.ExitUsageError)
+	exitOK    = int(subcommands.ExitSuccess)
+	exitUsage = int(subcommands.ExitUsageError)
 
 	// exitPending says that a change was accepted and is not in force
 	// everywhere yet.
--- a/internal/mesh/node/claim.go
+++ b/internal/mesh/node/claim.go
@@ -124,20 +124,10 @@
 		case now := <-timer.C:
 			d.apply(now, d.book.Step(now, claim.Elapsed{}))
 		}
-		d.reset(timer)
+		arm(timer, d.book.Next())
 	}
 }
 
-// reset arms the timer only when the book waits for a time.
-func (d *claimDuty) reset(timer *time.Timer) {
-	at := d.book.Next()
-	if at.IsZero() {
-		timer.Stop()
-		return
-	}
-	timer.Reset(time.Until(at))
-}
-
 func (d *claimDuty) handle(now time.Time, e mesh.Event) {
 	switch r := e.(type) {
 	case gatherEnded:
--- a/internal/mesh/node/contract.go
+++ b/internal/mesh/node/contract.go
@@ -107,20 +107,10 @@
 			d.follow(time.Now())
 			d.show(time.Now())
 		}
-		d.setWake(wake)
+		arm(wake, d.ledger.Wake())
 	}
 }
 
-// setWake makes the timer fire when the ledger next needs it.
-func (d *contractDuty) setWake(wake *time.Timer) {
-	at := d.ledger.Wake()
-	if at.IsZero() {
-		wake.Stop()
-		return
-	}
-	wake.Reset(max(leastWake, time.Until(at)))
-}
-
 func (d *contractDuty) handle(now time.Time, e mesh.Event) {
 	switch e := e.(type) {
 	case admitRequest:
--- a/internal/mesh/node/gather.go
+++ b/internal/mesh/node/gather.go
@@ -98,20 +98,10 @@
 		case now := <-timer.C:
 			d.apply(now, d.state.Step(now, gather.Elapsed{}))
 		}
-		d.reset(timer)
+		arm(timer, d.state.Next())
 	}
 }
 
-// reset arms the timer only while a batch waits.
-func (d *gatherDuty) reset(timer *time.Timer) {
-	at := d.state.Next()
-	if at.IsZero() {
-		timer.Stop()
-		return
-	}
-	timer.Reset(time.Until(at))
-}
-
 func (d *gatherDuty) handle(now time.Time, e mesh.Event) {
 	if r, isRequest := e.(gatherRequest); isRequest {
 		d.ticket++
--- a/internal/mesh/node/gather_test.go
+++ b/internal/mesh/node/gather_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -248,8 +247,8 @@
 	var duties []*claimDuty
 	for i := range nodes {
 		var order []netip.AddrPort
-		if gathered && i >= gatherers {
-			order = slices.Concat(addrs[i%gatherers:], addrs[:i%gatherers])
+		if gathered {
+			order = addrs[:min(i, gatherers)]
 		}
 		duties = append(duties, runGathered(ctx, store.New(addr), order...))
 		duties[i].Claim(ctx, newTestCall(time.Second))
--- a/internal/mesh/share/event.go
+++ b/internal/mesh/share/event.go
@@ -121,11 +121,6 @@
 	None []mesh.OrganisationName
 }
 
-// Empty reports whether the batch says nothing but the sender's life.
-func (b *Batch) Empty() bool {
-	return len(b.Asks)+len(b.Transfers)+len(b.Acks)+len(b.Denied)+len(b.None) == 0
-}
-
 // Configured brings the contracts in force.
 type Configured struct {
 	Contracts map[mesh.OrganisationName]mesh.Contract
