--- a/internal/mesh/node/meter.go
+++ b/internal/mesh/meter/meter.go
@@ -1,4 +1,5 @@
-package node
+// Package meter counts how requests end and how long they take.
+package meter
 
 import (
 	"context"
@@ -14,7 +15,7 @@
 )
 
 const (
-	meterRing = 4096
+	ringLength = 4096
 
 	// Range and digits of the histograms, in microseconds.
 	minLatency   = 1
@@ -22,8 +23,8 @@
 	latencyDigit = 2
 )
 
-// meterDuty owns the histograms. Full ring: the measurement is dropped and counted.
-type meterDuty struct {
+// Duty owns the histograms. Full ring: the measurement is dropped and counted.
+type Duty struct {
 	events  *ring.Ring
 	answers *expvar.Map
 
@@ -32,9 +33,10 @@
 	histograms map[string]*hdrhistogram.Histogram
 }
 
-func newMeterDuty(vars *expvar.Map) (d *meterDuty) {
-	d = &meterDuty{
-		events:     ring.New(vars, "meter", meterRing),
+// New returns the duty and publishes what it measures in vars.
+func New(vars *expvar.Map) (d *Duty) {
+	d = &Duty{
+		events:     ring.New(vars, "meter", ringLength),
 		answers:    new(expvar.Map),
 		histograms: make(map[string]*hdrhistogram.Histogram),
 	}
@@ -44,46 +46,57 @@
 }
 
 // Name implements mesh.Duty.
-func (d *meterDuty) Name() string { return "meter" }
-
-// measurement is how one request of a caller ended.
-type measurement struct {
-	organisation mesh.OrganisationName
-	class        mesh.Class
-	outcome      header.OutcomeValue
-	code         header.RefusalCode
-	latency      time.Duration
+func (d *Duty) Name() string { return "meter" }
+
+// Measurement is how one request of a caller ended.
+type Measurement struct {
+	Organisation mesh.OrganisationName
+	Class        mesh.Class
+
+	// Route is empty where a request is measured by its class alone.
+	Route   string
+	Outcome header.OutcomeValue
+
+	// Code is empty after an answer.
+	Code    header.RefusalCode
+	Latency time.Duration
 }
 
 // EventName implements mesh.Event.
-func (measurement) EventName() string { return "measurement" }
+func (Measurement) EventName() string { return "measurement" }
+
+// Record takes in how a request ended.
+func (d *Duty) Record(m Measurement) { d.events.Offer(m) }
 
 // Run implements mesh.Duty.
-func (d *meterDuty) Run(ctx context.Context) (err error) {
+func (d *Duty) Run(ctx context.Context) (err error) {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case e := <-d.events.Events():
-			d.record(e.(measurement))
+			d.record(e.(Measurement))
 		}
 	}
 }
 
-func (d *meterDuty) record(s measurement) {
-	if s.code != "" {
-		d.answers.Add("refused-"+string(s.code), 1)
+func (d *Duty) record(s Measurement) {
+	if s.Code != "" {
+		d.answers.Add("refused-"+string(s.Code), 1)
 	}
-	d.answers.Add(string(s.outcome), 1)
+	d.answers.Add(string(s.Outcome), 1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.histogram("class-" + s.class.String()).RecordValue(s.latency.Microseconds())
-	if s.organisation != "" {
-		d.histogram("organisation-" + string(s.organisation)).RecordValue(s.latency.Microseconds())
+	d.histogram("class-" + s.Class.String()).RecordValue(s.Latency.Microseconds())
+	if s.Route != "" {
+		d.histogram("route-" + s.Route).RecordValue(s.Latency.Microseconds())
+	}
+	if s.Organisation != "" {
+		d.histogram("organisation-" + string(s.Organisation)).RecordValue(s.Latency.Microseconds())
 	}
 }
 
-func (d *meterDuty) histogram(name string) (h *hdrhistogram.Histogram) {
+func (d *Duty) histogram(name string) (h *hdrhistogram.Histogram) {
 	h, found := d.histograms[name]
 	if !found {
 		h = hdrhistogram.New(minLatency, maxLatency, latencyDigit)
@@ -100,7 +113,7 @@
 	Max   int64 `json:"max-us"`
 }
 
-func (d *meterDuty) latencies() (values any) {
+func (d *Duty) latencies() (values any) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := make(map[string]summary, len(d.histograms))
--- a/internal/mesh/node/entry.go
+++ b/internal/mesh/node/entry.go
@@ -10,6 +10,7 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/calls"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/tree"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
@@ -55,14 +56,14 @@
 
 // measure records how a request of a caller ended.
 func (f *front) measure(started time.Time, call *mesh.Call, refusal *mesh.Refusal) {
-	s := measurement{outcome: header.Ran, latency: time.Since(started), class: mesh.ClassLow}
+	m := meter.Measurement{Outcome: header.Ran, Latency: time.Since(started), Class: mesh.ClassLow}
 	if call != nil {
-		s.organisation, s.class = call.Organisation, call.Class
+		m.Organisation, m.Class = call.Organisation, call.Class
 	}
 	if refusal != nil {
-		s.outcome, s.code = refusal.Outcome, refusal.Code
+		m.Outcome, m.Code = refusal.Outcome, refusal.Code
 	}
-	f.meter.events.Offer(s)
+	f.meter.Record(m)
 }
 
 // accept checks a request of a caller and reads it in.
--- a/internal/mesh/node/front.go
+++ b/internal/mesh/node/front.go
@@ -14,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/tree"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
@@ -29,7 +30,7 @@
 	calls    *callsDuty
 	claims   mesh.Claimer
 	route    *routeDuty
-	meter    *meterDuty
+	meter    *meter.Duty
 	carrier  mesh.Carrier
 	targets  *targetClient
 
--- a/internal/mesh/node/local.go
+++ b/internal/mesh/node/local.go
@@ -41,6 +41,13 @@
 	return nil
 }
 
+func (a announcement) target() (t mesh.Target) {
+	return mesh.Target{
+		Service: a.Service, Addr: a.Addr, Slots: a.Slots, Connections: a.Connections,
+		Incarnation: a.Incarnation, Draining: a.Draining,
+	}
+}
+
 // announce takes the announcement of a target on this host.
 func (f *front) announce(c echo.Context) (err error) {
 	var a announcement
@@ -52,7 +59,7 @@
 	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, "announcement: "+err.Error())
 	}
-	t := mesh.Target(a)
+	t := a.target()
 	if err := f.gate.Open(c.Request().Context(), t); err != nil {
 		return err
 	}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -20,6 +20,7 @@
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/roster"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/store"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
@@ -110,15 +111,15 @@
 	claims.gatherers = newGatherers(vars, s, hosts.View)
 	shared := newGatherDuty(vars, records)
 	routes := newRouteDuty(vars, versions, hosts)
-	meter := newMeterDuty(vars)
+	measures := meter.New(vars)
 	n.front = &front{
 		settings: s,
 		config:   versions, roster: hosts, contract: contract, gate: gates, calls: book,
-		claims: claims, route: routes, meter: meter,
+		claims: claims, route: routes, meter: measures,
 		carrier: &peerCarrier{transport: newTransport(0), signer: signer, config: versions},
 		targets: &targetClient{transport: newTransport(0), signer: signer},
 	}
-	n.duties = []mesh.Duty{platform, records, hosts, versions, contract, gates, book, claims, shared, routes, meter}
+	n.duties = []mesh.Duty{platform, records, hosts, versions, contract, gates, book, claims, shared, routes, measures}
 	n.duties = append(n.duties, newBatchSenders(claims.gatherers, control, logs.For(n.logger, "gather"))...)
 	for _, d := range slices.Concat(out, shares) {
 		n.duties = append(n.duties, d)
