mesh: core types of orders, hosts and dialects; decisions on rules, fleet, quota and cold starts

The users' platform keeps rules and hosts in its store, names requests and routes in its own way, and lists no targets.

--- /dev/null
+++ b/internal/mesh/beat/beat.go
@@ -0,0 +1,146 @@
+// Package beat encodes what the nodes of a fleet tell each other in datagrams.
+package beat
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/quota"
+)
+
+// MaxBytes bounds a datagram. A larger one is not read.
+const MaxBytes = 32 << 10
+
+// maxTargets bounds the targets that one host may have.
+const maxTargets = 64
+
+// Beat is everything that a host tells the others about itself. Each beat is
+// complete, so the next one makes good for one that was lost.
+type Beat struct {
+	Host  mesh.Host
+	Usage quota.Report
+
+	// AsOf and Rules are the state and version of the orders that the host
+	// follows, so that others notice newer ones.
+	AsOf  uint64
+	Rules uint64
+
+	// OutDigest is a digest of the zones that these orders take out.
+	OutDigest uint64
+}
+
+// message is a beat on the wire. Times are remaining amounts, since the clocks
+// of hosts differ.
+type message struct {
+	Addr        string             `cbor:"addr"`
+	Zone        string             `cbor:"zone"`
+	Incarnation uint64             `cbor:"incarnation"`
+	Revision    uint64             `cbor:"revision"`
+	State       uint8              `cbor:"state"`
+	Targets     []target           `cbor:"targets"`
+	Usage       map[string][]int64 `cbor:"usage"`
+	AsOf        uint64             `cbor:"as-of"`
+	Rules       uint64             `cbor:"rules"`
+	OutDigest   uint64             `cbor:"out-digest"`
+}
+
+type target struct {
+	Service     string `cbor:"service"`
+	Addr        string `cbor:"addr"`
+	Name        string `cbor:"name"`
+	Slots       int    `cbor:"slots"`
+	Incarnation uint64 `cbor:"incarnation"`
+	Draining    bool   `cbor:"draining"`
+
+	// ColdLeft is in milliseconds.
+	ColdLeft int64 `cbor:"cold-left"`
+}
+
+// Encode returns the datagram of a beat.
+func Encode(now time.Time, b *Beat) (data []byte, err error) {
+	m := message{
+		Addr: b.Host.Addr.String(), Zone: string(b.Host.Zone), Incarnation: uint64(b.Host.Incarnation),
+		Revision: b.Host.Revision, State: uint8(b.Host.State), AsOf: b.AsOf, Rules: b.Rules, OutDigest: b.OutDigest,
+		Usage: make(map[string][]int64, len(b.Usage.Usage)),
+	}
+	for _, t := range b.Host.Targets {
+		m.Targets = append(m.Targets, target{
+			Service: string(t.Service), Addr: t.Addr.String(), Name: t.Name, Slots: t.Slots,
+			Incarnation: uint64(t.Incarnation), Draining: t.Draining, ColdLeft: max(0, t.ColdUntil.Sub(now).Milliseconds()),
+		})
+	}
+	for name, u := range b.Usage.Usage {
+		m.Usage[string(name)] = []int64{int64(u.Offered), int64(u.Admitted)}
+	}
+	return cbor.Marshal(m)
+}
+
+// Decode returns the beat in a datagram. Whatever is wrong with it, nothing of
+// it is used.
+func Decode(now time.Time, data []byte) (b *Beat, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("beat of %d bytes: %w", len(data), err)
+		}
+	}()
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return nil, err
+	}
+	addr, err := netip.ParseAddrPort(m.Addr)
+	if err != nil {
+		return nil, err
+	}
+	if m.Zone == "" || m.State > uint8(mesh.HostLeft) || len(m.Targets) > maxTargets {
+		return nil, fmt.Errorf("zone %q, state %d and %d targets are not a host", m.Zone, m.State, len(m.Targets))
+	}
+	b = &Beat{
+		Host: mesh.Host{
+			Addr: addr, Zone: mesh.ZoneName(m.Zone), Incarnation: mesh.Incarnation(m.Incarnation),
+			Revision: m.Revision, State: mesh.HostState(m.State),
+		},
+		Usage: quota.Report{From: addr, Incarnation: mesh.Incarnation(m.Incarnation)},
+		AsOf:  m.AsOf, Rules: m.Rules, OutDigest: m.OutDigest,
+	}
+	if b.Host.Targets, err = decodeTargets(now, m.Targets); err != nil {
+		return nil, err
+	}
+	b.Usage.Usage, err = decodeUsage(m.Usage)
+	return b, err
+}
+
+func decodeTargets(now time.Time, targets []target) (decoded []mesh.Target, err error) {
+	for _, t := range targets {
+		addr, err := netip.ParseAddrPort(t.Addr)
+		if err != nil {
+			return nil, err
+		}
+		if t.Service == "" || t.Slots < 1 {
+			return nil, fmt.Errorf("target %q of service %q with %d slots is no target", t.Name, t.Service, t.Slots)
+		}
+		d := mesh.Target{
+			Service: mesh.ServiceName(t.Service), Addr: addr, Name: t.Name, Slots: t.Slots,
+			Incarnation: mesh.Incarnation(t.Incarnation), Draining: t.Draining,
+		}
+		if t.ColdLeft > 0 {
+			d.ColdUntil = now.Add(time.Duration(t.ColdLeft) * time.Millisecond)
+		}
+		decoded = append(decoded, d)
+	}
+	return decoded, nil
+}
+
+func decodeUsage(usage map[string][]int64) (decoded map[mesh.OrganisationName]quota.Usage, err error) {
+	decoded = make(map[mesh.OrganisationName]quota.Usage, len(usage))
+	for name, u := range usage {
+		if len(u) != 2 || u[0] < u[1] || u[1] < 0 {
+			return nil, fmt.Errorf("usage %v of organisation %q is not a number offered and one admitted", u, name)
+		}
+		decoded[mesh.OrganisationName(name)] = quota.Usage{Offered: uint64(u[0]), Admitted: uint64(u[1])}
+	}
+	return decoded, nil
+}
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -80,6 +80,26 @@
 
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64
+
+	// Host is the host name that requests of the route are sent to; empty
+	// where a route is found by its service.
+	Host string
+
+	// Objective is the latency within which an answer has its full value;
+	// zero when none is stated.
+	Objective time.Duration
+
+	// Split divides the requests of the route between services. It is empty
+	// when all go to Service.
+	Split []Portion
+}
+
+// Portion is one service's part of a split route.
+type Portion struct {
+	Service ServiceName
+
+	// Weight is the part relative to the other portions, at least 0.
+	Weight float64
 }
 
 // RequestID is a UUIDv7 that names a request across resends.
@@ -139,6 +159,16 @@
 	ID    RequestID
 	Route *Route
 
+	// Label is the id that the caller gave where ids are no UUIDs.
+	Label string
+
+	// Service is the one of a split route's services that runs the call; empty
+	// where the route has only one.
+	Service ServiceName
+
+	// Caller is the service on the host where the call began.
+	Caller ServiceName
+
 	// Class is the importance of the request, set by its route at entry. Its
 	// deeper calls keep it, whatever their own routes say.
 	Class Class
@@ -161,5 +191,13 @@
 	Attempts int
 }
 
+// RunsAt returns the service that runs the call.
+func (c *Call) RunsAt() (service ServiceName) {
+	if c.Service != "" {
+		return c.Service
+	}
+	return c.Route.Service
+}
+
 // Remaining returns the time left until the deadline.
 func (c *Call) Remaining(now time.Time) (left time.Duration) { return c.Deadline.Sub(now) }
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -30,6 +30,10 @@
 	// is not whole.
 	Body io.ReadCloser
 
+	// Length is the length of the body where it is known beforehand, and -1
+	// otherwise.
+	Length int64
+
 	// Attempts is what is left of the retry budget that the call brought.
 	Attempts int
 
--- /dev/null
+++ b/internal/mesh/dialect.go
@@ -0,0 +1,66 @@
+package mesh
+
+import "time"
+
+// Headers are the headers of a request or answer, by canonical name.
+type Headers map[string][]string
+
+// Introduction is what the headers of a caller's request say about it.
+type Introduction struct {
+	// ID is the caller's name for the request, never empty.
+	ID string
+
+	// Timeout is how long the caller waits; zero when it does not say.
+	Timeout time.Duration
+
+	// Key is set when HasKey is true.
+	Key    KeyHash
+	HasKey bool
+}
+
+// Verdict is what the headers of a target's answer say about it.
+type Verdict struct {
+	// ID is the request that is answered; empty when the target does not say.
+	ID string
+
+	// Proven is true when the answer shows that a target made it.
+	Proven bool
+
+	// NotRun is true when the target states that it did not run the request.
+	NotRun bool
+
+	// OtherTarget is true when another target than the expected one answered.
+	OtherTarget bool
+}
+
+// Dialect is the way in which callers and targets write headers. Everything
+// else about a request is the same for all of them.
+type Dialect interface {
+	// Introduce reads the headers of a caller's request. An error says what
+	// the caller has to change.
+	Introduce(h Headers) (in Introduction, err error)
+
+	// Deliver sets the headers with which the call goes to a target, and
+	// removes those that no target may see.
+	Deliver(h Headers, call *Call, to Target, left time.Duration)
+
+	// Judge reads the status and headers of a target's answer.
+	Judge(status int, h Headers) (v Verdict)
+
+	// Refuse sets the headers of a refusal and returns its status. A status
+	// that promises that the request did not run is used only for a refusal
+	// with the outcome NotRun.
+	Refuse(h Headers, r *Refusal) (status int)
+}
+
+// Announcement is what a target reports about itself.
+type Announcement struct {
+	Zone   ZoneName
+	Target Target
+
+	// Sequence rises with each report of one incarnation of the target.
+	Sequence uint64
+
+	// Gone is true when the target ends; of Target only Name is set then.
+	Gone bool
+}
--- /dev/null
+++ b/internal/mesh/fleet/fleet.go
@@ -0,0 +1,233 @@
+// Package fleet decides which hosts of the fleet live and which targets take
+// work, from what each host says about itself.
+package fleet
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+const (
+	// shortBeat is the time between two beats of a host in a small fleet.
+	// Three lost beats show a dead host before a request of 1 s times out.
+	shortBeat = 300 * time.Millisecond
+
+	// beatPerHost stretches the beats of a large fleet, since each host beats
+	// to all others: it keeps a host at 100 beats a second in each direction.
+	beatPerHost = 10 * time.Millisecond
+
+	// missedBeats is how many beats a host may miss before it counts as
+	// silent. Links lose a few packets in a hundred, rarely three in a row.
+	missedBeats = 3
+
+	// rareBeat is the time between beats to a host that is silent, which
+	// costs little and finds it again when it returns.
+	rareBeat = 2 * time.Second
+
+	// maxRemoteLife is how long a silent host keeps its row. Its demand is
+	// reserved meanwhile, in case it lives behind a cut.
+	maxRemoteLife = 10 * time.Minute
+)
+
+// State is what one node knows of the fleet. Only one duty may use it.
+type State struct {
+	self  mesh.Host
+	hosts map[netip.AddrPort]*host
+
+	// out holds the zones that operators have taken out.
+	out map[mesh.ZoneName]bool
+}
+
+// host is another host of the fleet.
+type host struct {
+	mesh.Host
+
+	// heard is when the last beat arrived, zero while none has.
+	heard time.Time
+
+	// told is when this node last sent it a beat.
+	told time.Time
+}
+
+// View is the fleet at one moment. It never changes.
+type View struct {
+	// Targets holds the targets that take work, by service. A service all of
+	// whose hosts are silent keeps them, since trying beats refusing.
+	Targets map[mesh.ServiceName][]mesh.Endpoint
+
+	// Peers holds the other hosts that are not silent, by address.
+	Peers map[netip.AddrPort]mesh.Host
+
+	// Known is the number of hosts, this one included, silent or not.
+	Known int
+}
+
+// New returns the state of a node that knows only its own host.
+func New(self mesh.Host) (s *State) {
+	return &State{self: self, hosts: make(map[netip.AddrPort]*host), out: make(map[mesh.ZoneName]bool)}
+}
+
+// Self returns this node's own host as others should see it.
+func (s *State) Self() (self mesh.Host) { return s.self }
+
+// Interval returns the time between two beats to a host that answers.
+func (s *State) Interval() (d time.Duration) {
+	return max(shortBeat, time.Duration(len(s.hosts))*beatPerHost)
+}
+
+// Meet adds a host that was listed somewhere. It reports whether it is new.
+func (s *State) Meet(h mesh.Host) (added bool) {
+	if h.Addr == s.self.Addr || s.hosts[h.Addr] != nil {
+		return false
+	}
+	s.hosts[h.Addr] = &host{Host: mesh.Host{Addr: h.Addr, Zone: h.Zone, State: mesh.HostSuspect}}
+	return true
+}
+
+// Hear takes in what a host says about itself. Beats can overtake each other,
+// so an older one than the last is dropped. It reports whether the view may
+// have changed.
+func (s *State) Hear(now time.Time, h mesh.Host) (changed bool) {
+	if h.Addr == s.self.Addr {
+		return false
+	}
+	known, found := s.hosts[h.Addr]
+	if !found {
+		known = new(host)
+		s.hosts[h.Addr] = known
+	}
+	if h.Incarnation < known.Incarnation || h.Incarnation == known.Incarnation && h.Revision < known.Revision {
+		return false
+	}
+	changed = s.silent(now, known) || h.Incarnation != known.Incarnation || h.Revision != known.Revision
+	known.Host, known.heard = h, now
+	return changed
+}
+
+// Announce takes in a report of a target of this host. It reports false for a
+// report that came late, from an earlier start or before a newer report.
+func (s *State) Announce(t mesh.Target) (changed bool) {
+	i := slices.IndexFunc(s.self.Targets, func(known mesh.Target) bool { return known.Addr == t.Addr })
+	switch {
+	case i < 0:
+		s.self.Targets = append(slices.Clone(s.self.Targets), t)
+	case t.Incarnation < s.self.Targets[i].Incarnation, t == s.self.Targets[i]:
+		return false
+	default:
+		s.self.Targets = slices.Clone(s.self.Targets)
+		s.self.Targets[i] = t
+	}
+	s.self.Revision++
+	return true
+}
+
+// Withdraw removes a target of this host that has ended.
+func (s *State) Withdraw(name string) (removed bool) {
+	before := len(s.self.Targets)
+	s.self.Targets = slices.DeleteFunc(slices.Clone(s.self.Targets), func(t mesh.Target) bool { return t.Name == name })
+	if len(s.self.Targets) == before {
+		return false
+	}
+	s.self.Revision++
+	return true
+}
+
+// Leave marks this host as draining, so that others send it no more work.
+func (s *State) Leave() {
+	s.self.State = mesh.HostDraining
+	s.self.Revision++
+}
+
+// TakeOut sets the zones that operators have taken out.
+func (s *State) TakeOut(zones []mesh.ZoneName) {
+	clear(s.out)
+	for _, z := range zones {
+		s.out[z] = true
+	}
+}
+
+// Due returns the hosts to which a beat is due and notes that they get one.
+// All hosts are due when urgent, as after a change that keeps work away.
+func (s *State) Due(now time.Time, urgent bool) (addrs []netip.AddrPort) {
+	interval := s.Interval()
+	for addr, h := range s.hosts {
+		wait := interval
+		if s.silent(now, h) {
+			wait = rareBeat
+		}
+		// A beat that comes a little early keeps beats aligned, which saves
+		// wake-ups.
+		if urgent || now.Sub(h.told) >= wait-interval/10 {
+			h.told = now
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
+// Forget drops hosts that have been silent for very long and reports whether
+// a host fell silent since before.
+func (s *State) Forget(now, before time.Time) (changed bool) {
+	for _, h := range s.hosts {
+		changed = changed || !s.silent(before, h) && s.silent(now, h)
+	}
+	maps.DeleteFunc(s.hosts, func(_ netip.AddrPort, h *host) bool {
+		return !h.heard.IsZero() && now.Sub(h.heard) > maxRemoteLife
+	})
+	return changed
+}
+
+func (s *State) silent(now time.Time, h *host) bool {
+	// A host that beats to many others does so less often.
+	return h.heard.IsZero() || now.Sub(h.heard) > missedBeats*s.Interval()+shortBeat
+}
+
+// View returns the fleet as it is now.
+func (s *State) View(now time.Time) (v *View) {
+	v = &View{
+		Targets: make(map[mesh.ServiceName][]mesh.Endpoint),
+		Peers:   make(map[netip.AddrPort]mesh.Host, len(s.hosts)),
+		Known:   len(s.hosts) + 1,
+	}
+	v.add(s.self, s.out)
+	var silent []mesh.Host
+	for _, h := range s.hosts {
+		if s.silent(now, h) {
+			silent = append(silent, h.Host)
+			continue
+		}
+		v.Peers[h.Addr] = h.Host
+		v.add(h.Host, s.out)
+	}
+	v.addSilent(silent, s.out)
+	return v
+}
+
+func (v *View) add(h mesh.Host, out map[mesh.ZoneName]bool) {
+	if h.State == mesh.HostDraining || h.State == mesh.HostLeft || out[h.Zone] {
+		return
+	}
+	for _, t := range h.Targets {
+		if t.Draining {
+			continue
+		}
+		v.Targets[t.Service] = append(v.Targets[t.Service], mesh.Endpoint{Host: h.Addr, Zone: h.Zone, Target: t})
+	}
+}
+
+// addSilent adds the targets of silent hosts whose service has no others.
+func (v *View) addSilent(silent []mesh.Host, out map[mesh.ZoneName]bool) {
+	rest := &View{Targets: make(map[mesh.ServiceName][]mesh.Endpoint)}
+	for _, h := range silent {
+		rest.add(h, out)
+	}
+	for service, endpoints := range rest.Targets {
+		if len(v.Targets[service]) == 0 {
+			v.Targets[service] = endpoints
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/gate/cold.go
@@ -0,0 +1,74 @@
+package gate
+
+import "time"
+
+// coldBurst is how many requests a cold target may get at one moment. Their
+// number in any second is at most the rate and this burst.
+const coldBurst = 4
+
+// Chilled says that the target is cold for a while and bears only a few
+// requests a second.
+type Chilled struct {
+	// Until is when the cold start ends.
+	Until time.Time
+
+	// PerSecond is how many requests the target bears meanwhile; zero means
+	// any number.
+	PerSecond float64
+}
+
+// EventName implements mesh.Event.
+func (Chilled) EventName() string { return "chilled" }
+
+// pace spaces the requests to a cold target. The limit on requests at a time
+// alone would let many short ones through.
+type pace struct {
+	until     time.Time
+	perSecond float64
+
+	// tokens is at most coldBurst; it was last filled at filled.
+	tokens float64
+	filled time.Time
+}
+
+// set takes in news of a cold start. A target that is already cold keeps what
+// it used of its rate.
+func (p *pace) set(now time.Time, c Chilled) {
+	if !p.active(now) {
+		p.tokens, p.filled = 1, now
+	}
+	p.until, p.perSecond = c.Until, c.PerSecond
+}
+
+func (p *pace) active(now time.Time) bool { return p.perSecond > 0 && now.Before(p.until) }
+
+// ready reports whether one more request may start.
+func (p *pace) ready(now time.Time) bool {
+	if !p.active(now) {
+		return true
+	}
+	if elapsed := now.Sub(p.filled); elapsed > 0 {
+		p.tokens = min(coldBurst, p.tokens+p.perSecond*elapsed.Seconds())
+		p.filled = now
+	}
+	return p.tokens >= 1
+}
+
+// take counts a request that starts.
+func (p *pace) take(now time.Time) {
+	if p.active(now) {
+		p.tokens--
+	}
+}
+
+// next returns when a further request may start, and zero when one may.
+func (p *pace) next(now time.Time) (at time.Time) {
+	if p.ready(now) {
+		return time.Time{}
+	}
+	at = now.Add(time.Duration((1 - p.tokens) / p.perSecond * float64(time.Second)))
+	if at.After(p.until) {
+		return p.until
+	}
+	return at
+}
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -142,11 +142,15 @@
 
 	level    levels
 	standing standing
+	pace     pace
 
 	// dropAt is at most the earliest time at which a waiting request can no
 	// longer finish, and zero while none waits.
-	dropAt  time.Time
-	swept   time.Time
+	dropAt time.Time
+	swept  time.Time
+
+	// stepped is when the last event was taken in.
+	stepped time.Time
 	actions []Action
 }
 
@@ -203,6 +207,7 @@
 // Step takes in one event. The actions are valid until the next call.
 func (g *Gate) Step(now time.Time, event mesh.Event) (actions []Action) {
 	g.actions = g.actions[:0]
+	g.stepped = now
 	switch e := event.(type) {
 	case Arrival:
 		g.arrive(now, e)
@@ -216,6 +221,8 @@
 		g.restart(now)
 	case Resized:
 		g.resize(now, e)
+	case Chilled:
+		g.pace.set(now, e)
 	case Closed:
 		g.closed = e.Refusal
 		g.clear()
@@ -241,7 +248,7 @@
 		return
 	}
 	g.standing.arrived++
-	if g.queue.Len() == 0 && len(g.running) < g.room() {
+	if g.queue.Len() == 0 && len(g.running) < g.room() && g.pace.ready(now) {
 		g.run(now, a.Ticket, a.Call)
 		return
 	}
@@ -281,6 +288,7 @@
 
 func (g *Gate) run(now time.Time, t Ticket, call *mesh.Call) {
 	g.running[t] = started{call: call, at: now, life: g.life}
+	g.pace.take(now)
 	g.level.started(now, classOf(call))
 	g.standing.ran++
 	g.actions = append(g.actions, Start{Ticket: t})
@@ -438,7 +446,7 @@
 }
 
 func (g *Gate) start(now time.Time) {
-	for len(g.running) < g.room() {
+	for len(g.running) < g.room() && g.pace.ready(now) {
 		next, found := g.queue.Pop(now)
 		if !found {
 			return
@@ -461,7 +469,10 @@
 		at = again
 	}
 	if earliest := g.swept.Add(leastSweep); at.Before(earliest) {
-		return earliest
+		at = earliest
+	}
+	if paced := g.pace.next(g.stepped); !paced.IsZero() && paced.Before(at) && len(g.running) < g.room() {
+		return paced
 	}
 	return at
 }
--- a/internal/mesh/logs/logs.go
+++ b/internal/mesh/logs/logs.go
@@ -51,3 +51,11 @@
 
 // Errorf logs what stops a part from doing its work.
 func (l Log) Errorf(format string, args ...any) { l.logger.Errorf(l.prefix+format, args...) }
+
+// Fields are the inputs and the outcome of a decision, by kebab-case name.
+type Fields = logrus.Fields
+
+// Decided logs a decision with what it rests on.
+func (l Log) Decided(what string, fields Fields) {
+	l.logger.WithFields(fields).Info(l.prefix + what)
+}
--- /dev/null
+++ b/internal/mesh/logs/queue.go
@@ -0,0 +1,80 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+// queueLines is how many log lines may wait for a slow output.
+const queueLines = 2048
+
+// Queue passes log lines on without making the writer wait. A line that finds
+// the queue full is dropped and counted.
+type Queue struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Uint64
+}
+
+// NewQueue returns a queue in front of out. Run passes the lines on.
+func NewQueue(out io.Writer) (q *Queue) {
+	return &Queue{out: out, lines: make(chan []byte, queueLines)}
+}
+
+// Write implements io.Writer. It never waits.
+func (q *Queue) Write(line []byte) (n int, err error) {
+	select {
+	case q.lines <- bytes.Clone(line):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped so far.
+func (q *Queue) Dropped() (n uint64) { return q.dropped.Load() }
+
+// Name implements mesh.Duty.
+func (q *Queue) Name() string { return "logs" }
+
+// Run implements mesh.Duty. It writes what waits before it ends.
+func (q *Queue) Run(ctx context.Context) (err error) {
+	var reported uint64
+	for {
+		select {
+		case line := <-q.lines:
+			if err := q.write(line); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return q.flush()
+		}
+		if dropped := q.dropped.Load(); dropped != reported {
+			if err := q.write(fmt.Appendf(nil, "{\"level\":\"warning\",\"msg\":\"logs: lines dropped\",\"lines\":%d}\n", dropped-reported)); err != nil {
+				return err
+			}
+			reported = dropped
+		}
+	}
+}
+
+// write passes a line on together with those that wait, in one call.
+func (q *Queue) write(line []byte) (err error) {
+	for len(q.lines) > 0 {
+		line = append(line, <-q.lines...)
+	}
+	_, err = q.out.Write(line)
+	return err
+}
+
+func (q *Queue) flush() (err error) {
+	select {
+	case line := <-q.lines:
+		return q.write(line)
+	default:
+		return nil
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -93,6 +93,13 @@
 	// Connections is how many connections the target accepts, at least 1.
 	Connections int
 
+	// Name is the target's own id; empty where targets have none.
+	Name string
+
+	// ColdUntil is when the target leaves its cold start, on the clock of the
+	// host that holds the value; zero while it is warm.
+	ColdUntil time.Time
+
 	// Incarnation changes whenever the target starts anew, that is, cold.
 	Incarnation Incarnation
 
--- /dev/null
+++ b/internal/mesh/orders.go
@@ -0,0 +1,103 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrHistoryDropped means that the store no longer holds the changes since the
+// state that a reader has, so that it has to read everything again.
+var ErrHistoryDropped = errors.New("history of changes dropped")
+
+// Rules are one version of what operators have set for the whole fleet. They
+// are never changed after they were made.
+type Rules struct {
+	// Version rises with each change that operators make.
+	Version uint64
+
+	Routes        []Route
+	Services      []ServiceRules
+	Organisations []Organisation
+	Limits        CallerLimits
+}
+
+// ServiceRules are what operators have set for the targets of one service.
+type ServiceRules struct {
+	Name ServiceName
+
+	// Connections is how many connections one target accepts, at least 1.
+	Connections int
+
+	// ColdTime is how long a target is cold after its start.
+	ColdTime time.Duration
+
+	// ColdRate is how many requests a second a cold target bears; zero means
+	// that it bears any number.
+	ColdRate float64
+}
+
+// Organisation is a customer of the fleet with its keys and its contract.
+type Organisation struct {
+	Name OrganisationName
+	Keys []KeyHash
+
+	// Priority ranks the organisation before the route's class; 0 is the
+	// most important, and nil leaves the order to the classes.
+	Priority *int
+
+	// Contract has a rate of zero when the organisation is not limited.
+	Contract Contract
+}
+
+// CallerLimits bound what one caller may send, and how long it may take.
+type CallerLimits struct {
+	// HeaderBytes and BodyBytes are above zero.
+	HeaderBytes int
+	BodyBytes   int64
+
+	// HeaderTime bounds the sending of the headers and IdleTime an unused
+	// connection. Both are above zero.
+	HeaderTime time.Duration
+	IdleTime   time.Duration
+}
+
+// Orders are everything that operators have in force at one moment.
+type Orders struct {
+	// AsOf is the state of the store that the orders were read from. A later
+	// state has a higher value.
+	AsOf uint64
+
+	// Rules is nil until operators have set any.
+	Rules *Rules
+
+	// Text is how the operators wrote Rules. Nodes pass it to each other when
+	// the store is out of reach.
+	Text []byte
+
+	// Out lists the zones that are taken out, in the order of their names.
+	Out []ZoneName
+}
+
+// Source is where a node follows the orders of operators.
+type Source interface {
+	// Read returns the orders as they stand.
+	Read(ctx context.Context) (orders Orders, err error)
+
+	// Next waits until the orders may differ from last and returns them. It
+	// ends with ErrHistoryDropped when the changes since last are lost.
+	Next(ctx context.Context, last Orders) (orders Orders, err error)
+
+	// Parse returns the rules that operators wrote as text.
+	Parse(text []byte) (rules *Rules, err error)
+}
+
+// Registry is the list of hosts that have ever run a node. It says nothing
+// about whether they live.
+type Registry interface {
+	// Join adds a host, unless it is listed already.
+	Join(ctx context.Context, host Host) (err error)
+
+	// Hosts returns all hosts that are listed.
+	Hosts(ctx context.Context) (hosts []Host, err error)
+}
--- /dev/null
+++ b/internal/mesh/quota/quota.go
@@ -0,0 +1,344 @@
+// Package quota keeps every organisation within its contract over all hosts.
+// Each node admits requests from a bucket of its own; how large the bucket is
+// follows from how the demand of the organisation is spread over the hosts.
+package quota
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+const (
+	// slot is the length of one step of the sliding counts, and slots how many
+	// of them a window has: contracts are measured over 5 s.
+	slot   = 250 * time.Millisecond
+	slots  = 20
+	window = slots * slot
+
+	// recent is how many slots the present rate is taken over. Shorter ones
+	// show a sudden demand sooner, longer ones vary less.
+	recent = 4
+
+	// freePart is the part of the contract's rate up to which the demand over
+	// all hosts leaves a node's bucket wide.
+	freePart = 0.85
+
+	// wide is the factor on a node's part of the rate while the whole demand
+	// is low, and wideBurst the part of its burst. They let demand move
+	// between hosts faster than the hosts hear of it.
+	wide      = 1.6
+	wideBurst = 0.5
+
+	// tightBurst is the part of a node's burst while demand is high. Together
+	// with the rate it keeps a window under the contract with room for nodes
+	// that disagree about the demand.
+	tightBurst = 0.2
+
+	// leastTokens is the smallest capacity of a bucket. A smaller one would
+	// refuse single requests of a small organisation.
+	leastTokens = 2
+
+	// burstPart is the part of the burst that a window may use over all hosts
+	// before every node refuses.
+	burstPart = 0.5
+
+	// leastDemand is the demand, in requests a second, that each host is
+	// taken to have at least, so that an idle host can serve a first request.
+	leastDemand = 0.5
+
+	// settle is for how long a part must have been larger before it is used.
+	// The other hosts hear of the demand, and lower theirs, within that time.
+	settle = 500 * time.Millisecond
+
+	// reserve is for how long the demand of a silent host counts. It may live
+	// behind a cut and use its part.
+	reserve = time.Minute
+)
+
+// Usage is what one organisation has sent to one host since the node started.
+type Usage struct {
+	// Offered counts all requests and Admitted those that were let in. Both
+	// only rise, and Admitted is at most Offered.
+	Offered, Admitted uint64
+}
+
+// Report is the usage of a host as it tells the others.
+type Report struct {
+	From        netip.AddrPort
+	Incarnation mesh.Incarnation
+	Usage       map[mesh.OrganisationName]Usage
+}
+
+// Book holds the buckets of one node. Only one duty may use it.
+type Book struct {
+	accounts map[mesh.OrganisationName]*account
+	hosts    map[netip.AddrPort]*remote
+
+	// known is the number of hosts, this one included, at least 1.
+	known int
+	moved time.Time
+}
+
+// account is one organisation at this node.
+type account struct {
+	contract mesh.Contract
+	used     Usage
+	offered  counts
+	admitted counts
+
+	// tokens is at most capacity; it was last filled at filled.
+	tokens, capacity float64
+	rate             float64
+	filled           time.Time
+
+	// fractions holds the node's part of the demand in the last slots; the
+	// least of them is used.
+	fractions [settle / slot]float64
+
+	// others is what all other hosts admitted in the last window.
+	others float64
+}
+
+// remote is another host.
+type remote struct {
+	incarnation mesh.Incarnation
+	heard       time.Time
+	usage       map[mesh.OrganisationName]*remoteUsage
+}
+
+type remoteUsage struct {
+	last     Usage
+	offered  counts
+	admitted counts
+
+	// held are the rates at the last report, which a silent host is taken to
+	// keep.
+	held struct{ offered, admitted float64 }
+}
+
+// counts are the requests of the last slots.
+type counts [slots]float64
+
+func (c *counts) total(n int) (sum float64) {
+	for _, v := range c[:n] {
+		sum += v
+	}
+	return sum
+}
+
+// shift makes the first slot a new one.
+func (c *counts) shift(first float64) {
+	copy(c[1:], c[:slots-1])
+	c[0] = first
+}
+
+// perSecond returns the rate over the recent slots.
+func (c *counts) perSecond() (rate float64) { return c.total(recent) / (recent * slot.Seconds()) }
+
+// New returns a book without contracts.
+func New() (b *Book) {
+	return &Book{accounts: make(map[mesh.OrganisationName]*account), hosts: make(map[netip.AddrPort]*remote), known: 1}
+}
+
+// Configure puts contracts in force. A contract of rate zero has no limit.
+func (b *Book) Configure(now time.Time, contracts []mesh.Contract) {
+	named := make(map[mesh.OrganisationName]bool, len(contracts))
+	for _, c := range contracts {
+		named[c.Organisation] = true
+		a, found := b.accounts[c.Organisation]
+		if !found {
+			a = &account{filled: now}
+			for i := range a.fractions {
+				a.fractions[i] = 1 / float64(b.known)
+			}
+			b.accounts[c.Organisation] = a
+		}
+		changed := a.contract != c
+		a.contract = c
+		if changed {
+			b.resize(now, a)
+		}
+		if !found {
+			a.tokens = a.capacity / 2
+		}
+	}
+	maps.DeleteFunc(b.accounts, func(name mesh.OrganisationName, _ *account) bool { return !named[name] })
+}
+
+// SetKnown sets how many hosts there are, this one included.
+func (b *Book) SetKnown(hosts int) { b.known = max(1, hosts) }
+
+// Hear takes in the usage of another host.
+func (b *Book) Hear(now time.Time, r Report) {
+	h, found := b.hosts[r.From]
+	if !found || h.incarnation != r.Incarnation {
+		fresh := &remote{incarnation: r.Incarnation, usage: make(map[mesh.OrganisationName]*remoteUsage)}
+		if found {
+			// What the host admitted before its restart still counts.
+			fresh.usage = h.usage
+			for _, u := range fresh.usage {
+				u.last = Usage{}
+			}
+		}
+		h = fresh
+		b.hosts[r.From] = h
+	}
+	h.heard = now
+	for name, used := range r.Usage {
+		u, seen := h.usage[name]
+		switch {
+		case !seen:
+			// The first report says nothing about when the requests came.
+			h.usage[name] = &remoteUsage{last: used}
+			continue
+		case used.Offered < u.last.Offered || used.Admitted < u.last.Admitted:
+			// A datagram that was overtaken by a later one.
+			continue
+		}
+		u.offered[0] += float64(used.Offered - u.last.Offered)
+		u.admitted[0] += float64(used.Admitted - u.last.Admitted)
+		u.last = used
+		u.held.offered, u.held.admitted = u.offered.perSecond(), u.admitted.perSecond()
+	}
+}
+
+// Used returns the usage of this node, for the report to the others.
+func (b *Book) Used() (used map[mesh.OrganisationName]Usage) {
+	used = make(map[mesh.OrganisationName]Usage, len(b.accounts))
+	for name, a := range b.accounts {
+		if a.used.Offered > 0 {
+			used[name] = a.used
+		}
+	}
+	return used
+}
+
+// Tick moves the windows on and sizes the buckets. Its owner calls it once a
+// slot.
+func (b *Book) Tick(now time.Time) {
+	steps := int(now.Sub(b.moved) / slot)
+	if b.moved.IsZero() || steps > slots {
+		steps, b.moved = 1, now
+	} else {
+		b.moved = b.moved.Add(time.Duration(steps) * slot)
+	}
+	for range steps {
+		b.shift(now)
+	}
+	for _, a := range b.accounts {
+		b.resize(now, a)
+	}
+}
+
+// Interval returns how often Tick is called.
+func (b *Book) Interval() (d time.Duration) { return slot }
+
+func (b *Book) shift(now time.Time) {
+	for _, a := range b.accounts {
+		a.offered.shift(0)
+		a.admitted.shift(0)
+	}
+	for addr, h := range b.hosts {
+		if now.Sub(h.heard) > reserve {
+			delete(b.hosts, addr)
+			continue
+		}
+		// A host that is not heard is taken to go on as it did.
+		silent := now.Sub(h.heard) > recent*slot
+		for _, u := range h.usage {
+			var offered, admitted float64
+			if silent {
+				offered, admitted = u.held.offered*slot.Seconds(), u.held.admitted*slot.Seconds()
+			}
+			u.offered.shift(offered)
+			u.admitted.shift(admitted)
+		}
+	}
+	for name, a := range b.accounts {
+		copy(a.fractions[1:], a.fractions[:])
+		a.fractions[0] = b.fraction(name, a)
+	}
+}
+
+// fraction returns the part of an organisation's demand that this node has.
+func (b *Book) fraction(name mesh.OrganisationName, a *account) (part float64) {
+	own := a.offered.perSecond() + leastDemand
+	total := own
+	for _, h := range b.hosts {
+		total += leastDemand
+		if u := h.usage[name]; u != nil {
+			total += u.offered.perSecond()
+		}
+	}
+	// Hosts that have not reported yet are taken to have the mean demand.
+	if missing := b.known - 1 - len(b.hosts); missing > 0 {
+		total += float64(missing) * total / float64(len(b.hosts)+1)
+	}
+	return own / total
+}
+
+// resize gives a bucket its rate and capacity.
+func (b *Book) resize(now time.Time, a *account) {
+	a.fill(now)
+	part := slices.Min(a.fractions[:])
+	demand := a.offered.perSecond()
+	a.others = 0
+	for _, h := range b.hosts {
+		if u := h.usage[a.contract.Organisation]; u != nil {
+			demand += u.offered.perSecond()
+			a.others += u.admitted.total(slots)
+		}
+	}
+	factor, burst := 1.0, tightBurst
+	if demand <= freePart*a.contract.Rate {
+		factor, burst = wide, wideBurst
+	}
+	a.rate = part * a.contract.Rate * factor
+	a.capacity = max(leastTokens, part*a.contract.Burst*burst)
+	a.tokens = min(a.tokens, a.capacity)
+}
+
+func (a *account) fill(now time.Time) {
+	if elapsed := now.Sub(a.filled); elapsed > 0 {
+		a.tokens = min(a.capacity, a.tokens+a.rate*elapsed.Seconds())
+	}
+	a.filled = now
+}
+
+// most returns how many requests all hosts may admit in a window.
+func (a *account) most() (n float64) {
+	return a.contract.Rate*window.Seconds() + max(leastTokens, burstPart*a.contract.Burst)
+}
+
+// Admit takes a token for one request of the organisation, or says why not.
+func (b *Book) Admit(now time.Time, name mesh.OrganisationName) (refusal *mesh.Refusal) {
+	a, found := b.accounts[name]
+	if !found || a.contract.Rate == 0 {
+		return nil
+	}
+	a.used.Offered++
+	a.offered[0]++
+	a.fill(now)
+	if a.tokens < 1 || a.admitted.total(slots)+a.others >= a.most() {
+		refusal = mesh.NotRun(header.RateExceeded, "organisation %q has used its rate of %g requests a second", name, a.contract.Rate)
+		refusal.RetryAfter = a.wait()
+		return refusal
+	}
+	a.tokens--
+	a.used.Admitted++
+	a.admitted[0]++
+	return nil
+}
+
+// wait returns when a token is likely to be left for a request that comes
+// back: others want the next tokens as well.
+func (a *account) wait() (after time.Duration) {
+	backlog := max(1, a.offered.perSecond())
+	after = time.Duration(backlog / max(a.rate, 1) * float64(time.Second))
+	return min(max(after, slot), window)
+}
