agent, platform: one path from caller to target on the users' platform

agent joins the duties by rings; platform/ (package bridge) translates the settings file, the manifest, liveness reports, headers and the store.

--- /dev/null
+++ b/internal/cmds/attach.go
@@ -0,0 +1,69 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"os"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+	"github.com/oklog/run"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh/agent"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
+	bridge "github.com/quetzalstack/quetzalstack/platform"
+)
+
+type attachCommand struct {
+	streams
+	file string
+}
+
+func (*attachCommand) Name() string     { return "attach" }
+func (*attachCommand) Synopsis() string { return "run the node of a host on the users' platform" }
+
+func (*attachCommand) Usage() string {
+	return `attach [-settings FILE]
+  Runs the node of a host whose rules, targets and headers are those of the
+  users' platform, until SIGTERM. docs/PLATFORM.md describes what it does.
+`
+}
+
+func (c *attachCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", os.Getenv(bridge.SettingsVariable), "the platform's settings file ($"+bridge.SettingsVariable+")")
+}
+
+func (c *attachCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) (status subcommands.ExitStatus) {
+	queue := logs.NewQueue(c.out)
+	logger, err := logs.New(queue, logs.FormatJSON)
+	if err != nil {
+		return fail(c.err, err)
+	}
+	settings, err := bridge.ReadSettings(c.file)
+	if err != nil {
+		return usage(c.err, "%v", err)
+	}
+	debug.SetGCPercent(gcPercent)
+	store := bridge.NewStore(settings.Store, logs.For(logger, "store"))
+	node, err := agent.New(settings.Node, agent.Platform{
+		Source: store, Registry: store, Dialect: bridge.Dialect{},
+		Reports: bridge.Reports(logs.For(logger, "reports")),
+	}, agent.WithLogger(logger))
+	if err != nil {
+		return fail(c.err, err)
+	}
+	if err := runLogged(ctx, queue, node.Run); err != nil {
+		return fail(c.err, err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// runLogged runs work and the queue of its log lines, which ends last.
+func runLogged(ctx context.Context, queue *logs.Queue, work func(ctx context.Context) error) (err error) {
+	var group run.Group
+	lines, stop := context.WithCancel(context.Background())
+	working, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return work(working) }, func(error) { cancel() })
+	group.Add(func() error { return queue.Run(lines) }, func(error) { stop() })
+	return group.Run()
+}
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -42,6 +42,7 @@
 	commander.Register(commander.HelpCommand(), "help")
 	commander.Register(commander.FlagsCommand(), "help")
 	commander.Register(&nodeCommand{}, "processes")
+	commander.Register(&attachCommand{streams: to}, "processes")
 	commander.Register(&demoCommand{}, "stand-ins")
 	commander.Register(&platformCommand{}, "stand-ins")
 	commander.Register(&sampleCommand{}, "stand-ins")
--- /dev/null
+++ b/internal/mesh/agent/agent.go
@@ -0,0 +1,280 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
+)
+
+const (
+	// maxHeaderBytes bounds the headers of a request. Operators may set less.
+	maxHeaderBytes = 64 << 10
+
+	// headerTimeout bounds how long a client may take to send its headers.
+	headerTimeout = 10 * time.Second
+
+	// idleTimeout is how long a listener keeps an unused connection. It is
+	// longer than clients and nodes keep theirs, so that they close first.
+	idleTimeout = time.Minute
+
+	// unreadyPart is the part of the time to leave during which callers learn
+	// that the node is not ready and still find it serving: two questions a
+	// second apart have to miss.
+	unreadyPart = 0.4
+
+	// finishPart is the part of the time to leave at which requests in flight
+	// must have ended.
+	finishPart = 0.95
+)
+
+// Platform is what varies between platforms: where orders and hosts are kept,
+// how requests are written, and how targets report.
+type Platform struct {
+	Source   mesh.Source
+	Registry mesh.Registry
+	Dialect  mesh.Dialect
+
+	// Reports serves the reports of targets and hands them to announce.
+	Reports func(announce func(ctx context.Context, a mesh.Announcement) error) http.Handler
+}
+
+// Agent is one process of the system.
+type Agent struct {
+	settings Settings
+	platform Platform
+	logger   *logrus.Logger
+	log      logs.Log
+	vars     *expvar.Map
+	front    *front
+	duties   []mesh.Duty
+	servers  []*server
+}
+
+// Option changes an agent as it is made.
+type Option func(*Agent)
+
+// WithLogger sets where the agent logs to.
+func WithLogger(l *logrus.Logger) Option { return func(a *Agent) { a.logger = l } }
+
+// New returns an agent that is ready to run.
+func New(s Settings, p Platform, options ...Option) (a *Agent, err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prependf(err, "make the node of %s", s.Peers)
+		}
+	}()
+	a = &Agent{settings: s, platform: p, logger: logrus.New(), vars: new(expvar.Map)}
+	for _, o := range options {
+		o(a)
+	}
+	a.log = logs.For(a.logger, "node")
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Peers))
+	if err != nil {
+		return nil, err
+	}
+	a.build(socket)
+	return a, nil
+}
+
+// build makes the duties and joins them.
+func (a *Agent) build(socket *net.UDPConn) {
+	s, vars, l := a.settings, a.vars, a.logger
+	self := mesh.Host{Addr: s.Peers, Zone: s.Zone, Incarnation: mesh.NewIncarnation(time.Now()), State: mesh.HostAlive}
+	follow := newFollowDuty(vars, logs.For(l, "follow"))
+	member := newMemberDuty(vars, self, logs.For(l, "member"))
+	quotas := newQuotaDuty(vars)
+	gates := newGateDuty(vars, s.Zone, logs.For(l, "gate"))
+	place := newPlaceDuty(vars, s, member)
+	fetch := newFetchDuty(vars, a.platform.Source, follow, logs.For(l, "fetch"))
+	measures := meter.New(vars)
+	follow.member, follow.quota, follow.gate = member, quotas, gates
+	member.socket, member.quota, member.gate, member.follow, member.fetch = socket, quotas, gates, follow, fetch
+	a.front = &front{
+		settings: s, dialect: a.platform.Dialect,
+		follow: follow, member: member, quota: quotas, place: place, gate: gates, meter: measures,
+		links: newLinks(), target: link.NewPool(s.Target), log: logs.For(l, "front"),
+	}
+	a.duties = []mesh.Duty{
+		follow, member, quotas, gates, place, fetch, measures,
+		&watchDuty{source: a.platform.Source, follow: follow, log: logs.For(l, "watch")},
+		&joinDuty{registry: a.platform.Registry, self: self, member: member, log: logs.For(l, "join")},
+		&earDuty{socket: socket, member: member, log: logs.For(l, "ear")},
+	}
+	a.servers = a.makeServers(fetch, member)
+}
+
+// server is one listener with its handler.
+type server struct {
+	name string
+	addr netip.AddrPort
+	http *http.Server
+
+	// listener is set while the agent runs.
+	listener net.Listener
+}
+
+func (a *Agent) makeServers(fetch *fetchDuty, member *memberDuty) (servers []*server) {
+	callers := newEcho()
+	callers.Any("/*", a.front.caller)
+
+	peers := newEcho()
+	peers.GET(ordersPath, fetch.serve)
+	peers.Any("/*", a.front.peer)
+
+	ready := newEcho()
+	ready.GET("/ready", a.ready)
+
+	metrics := newEcho()
+	metrics.GET("/metrics", func(c echo.Context) error { return c.String(http.StatusOK, a.vars.String()+"\n") })
+
+	reports := a.platform.Reports(member.Announce)
+	// The order is that of the shutdown: targets in the middle of a request of
+	// another node make calls through the listener of callers.
+	return []*server{
+		newServer("peers", a.settings.Peers, peers),
+		newServer("callers", a.settings.Callers, callers),
+		newServer("ready", a.settings.Ready, ready),
+		newServer("reports", a.settings.Reports, reports),
+		newServer("metrics", a.settings.Metrics, metrics),
+	}
+}
+
+func newEcho() (e *echo.Echo) {
+	e = echo.New()
+	e.HideBanner, e.HidePort = true, true
+	return e
+}
+
+func newServer(name string, addr netip.AddrPort, h http.Handler) (s *server) {
+	return &server{name: name, addr: addr, http: &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		// net/http reports clients that break off here, which is no news.
+		ErrorLog: stdlog.New(io.Discard, "", 0),
+	}}
+}
+
+// ready answers whether callers may send requests to this node.
+func (a *Agent) ready(c echo.Context) (err error) {
+	switch {
+	case a.front.leaving.Load():
+		return c.String(http.StatusServiceUnavailable, "the node is leaving\n")
+	case a.front.follow.View() == nil:
+		return c.String(http.StatusServiceUnavailable, "the node has no rules yet\n")
+	default:
+		return c.String(http.StatusOK, "ready\n")
+	}
+}
+
+// Run serves until ctx ends and then shuts down without cutting any request.
+func (a *Agent) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prepend(err, "run node")
+		}
+	}()
+	var group run.Group
+	for _, d := range a.duties {
+		addDuty(&group, d)
+	}
+	if err := a.listen(); err != nil {
+		return err
+	}
+	for _, s := range a.servers {
+		addServer(&group, s)
+	}
+	a.addLeave(ctx, &group)
+	a.log.Decided("started", logs.Fields{
+		"zone": a.settings.Zone, "service": a.settings.Service, "peers": a.settings.Peers.String(), "callers": a.settings.Callers.String(),
+	})
+	err = group.Run()
+	a.log.Infof("stopped.")
+	return err
+}
+
+func addDuty(group *run.Group, d mesh.Duty) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return d.Run(ctx) }, func(error) { cancel() })
+}
+
+// listen opens all listeners or none.
+func (a *Agent) listen() (err error) {
+	for i, s := range a.servers {
+		s.listener, err = net.Listen("tcp4", s.addr.String())
+		if err != nil {
+			for _, opened := range a.servers[:i] {
+				err = errors.Join(err, opened.listener.Close())
+			}
+			return fmt.Errorf("listen for %s: %w", s.name, err)
+		}
+	}
+	return nil
+}
+
+func addServer(group *run.Group, s *server) {
+	closed := make(chan struct{})
+	group.Add(func() error {
+		err := s.http.Serve(s.listener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve %s: %w", s.name, err)
+		}
+		// After a graceful shutdown the leave sequence decides when the
+		// group ends.
+		<-closed
+		return nil
+	}, func(error) {
+		_ = s.http.Close()
+		close(closed)
+	})
+}
+
+// addLeave adds the graceful shutdown, which starts when ctx ends.
+func (a *Agent) addLeave(ctx context.Context, group *run.Group) {
+	failed, fail := context.WithCancel(context.Background())
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+			a.leave(failed)
+		case <-failed.Done():
+		}
+		return nil
+	}, func(error) { fail() })
+}
+
+// leave is the graceful shutdown. The other nodes send no more work at once,
+// and callers keep being served until they have learned that the node is not
+// ready. Then what is in flight is finished.
+func (a *Agent) leave(ctx context.Context) {
+	start, limit := time.Now(), a.settings.LeaveTime
+	a.log.Infof("leaving; finishing what is in flight.")
+	a.front.leaving.Store(true)
+	_ = a.front.member.events.Send(ctx, leaving{})
+	wait(ctx, time.Duration(unreadyPart*float64(limit)))
+	end := start.Add(time.Duration(finishPart * float64(limit)))
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	for _, s := range a.servers {
+		if err := s.http.Shutdown(ctx); err != nil {
+			a.log.Warnf("shutdown of the listener for %s: %v.", s.name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/agent/front.go
@@ -0,0 +1,263 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/rules"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// front takes requests and leads them through the duties. It keeps no state of
+// its own but whether it is leaving and how many bytes it holds.
+type front struct {
+	settings Settings
+	dialect  mesh.Dialect
+	follow   *followDuty
+	member   *memberDuty
+	quota    *quotaDuty
+	place    *placeDuty
+	gate     *gateDuty
+	meter    *meter.Duty
+	links    *links
+	target   *link.Pool
+	log      logs.Log
+
+	// leaving is set once and never cleared.
+	leaving atomic.Bool
+
+	// held is how many bytes of request bodies are in memory.
+	held atomic.Int64
+}
+
+// maxHeld bounds the request bodies in memory, in bytes. It is a quarter of
+// the memory of the smallest hosts.
+const maxHeld = 48 << 20
+
+// unknownBody is what a body of unknown length counts until it is read.
+const unknownBody = 64 << 10
+
+// caller serves a request of a caller, or a call of the target on this host.
+func (f *front) caller(c echo.Context) (err error) {
+	started := time.Now()
+	if f.leaving.Load() {
+		c.Response().Header().Set("Connection", "close")
+	}
+	call, organisation, refusal := f.accept(c.Request(), started)
+	if refusal != nil {
+		return f.end(c, started, call, nil, refusal)
+	}
+	body, refusal := f.read(c, call)
+	defer f.held.Add(-int64(cap(body)))
+	if refusal != nil {
+		return f.end(c, started, call, nil, refusal)
+	}
+	ctx, cancel := context.WithDeadline(c.Request().Context(), call.Deadline)
+	defer cancel()
+	if organisation != nil && organisation.Contract.Rate > 0 {
+		if refusal := f.quota.Admit(ctx, organisation.Name); refusal != nil {
+			return f.end(c, started, call, nil, refusal)
+		}
+	}
+	answer, refusal := f.relay(ctx, call, newPayload(c.Request(), body))
+	return f.end(c, started, call, answer, refusal)
+}
+
+// accept checks the headers of a request against the rules in force.
+func (f *front) accept(r *http.Request, now time.Time) (call *mesh.Call, organisation *mesh.Organisation, refusal *mesh.Refusal) {
+	in, err := f.dialect.Introduce(mesh.Headers(r.Header))
+	call = &mesh.Call{Label: in.ID, Weight: 1, Class: mesh.ClassLow, Caller: f.settings.Service}
+	if err != nil {
+		return call, nil, mesh.NotRun(header.RequestIDMalformed, "%v", err)
+	}
+	view := f.follow.View()
+	if view == nil {
+		return call, nil, notReady()
+	}
+	host, _, _ := strings.Cut(r.Host, ":")
+	route, found := view.index.Route(host, r.URL.EscapedPath())
+	if !found {
+		return call, nil, mesh.NotRun(header.RouteUnknown, "host %q has no route for %s in rules version %d", host, r.URL.EscapedPath(), view.Rules.Version)
+	}
+	call.Route = route
+	call.Service = rules.Portion(route, rand.Float64())
+	call.Attempts = route.Retries
+	call.Deadline = now.Add(route.Timeout)
+	if in.Timeout > 0 {
+		call.Deadline = now.Add(min(in.Timeout, route.Timeout))
+	}
+	if !route.Open && len(view.Rules.Organisations) > 0 {
+		if !in.HasKey {
+			return call, nil, mesh.NotRun(header.KeyMissing, "the route needs a key")
+		}
+		if organisation, found = view.index.Holder(in.Key); !found {
+			return call, nil, mesh.NotRun(header.KeyUnknown, "nobody holds the key in rules version %d", view.Rules.Version)
+		}
+		call.Organisation, call.Key = organisation.Name, in.Key
+	}
+	call.Class = rules.ClassOf(route, organisation)
+	return call, organisation, nil
+}
+
+// notReadyWait is how long a node that has just started needs to read the
+// rules.
+const notReadyWait = 200 * time.Millisecond
+
+func notReady() (refusal *mesh.Refusal) {
+	refusal = mesh.NotRun(header.NoSettings, "the node has no rules yet")
+	refusal.RetryAfter = notReadyWait
+	return refusal
+}
+
+// read takes in the body of a request, so that it can be sent again.
+func (f *front) read(c echo.Context, call *mesh.Call) (body []byte, refusal *mesh.Refusal) {
+	r := c.Request()
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	most := f.follow.View().Rules.Limits.BodyBytes
+	if r.ContentLength > most {
+		return nil, mesh.NotRun(header.BodyTooLarge, "the body has %d bytes, more than %d", r.ContentLength, most)
+	}
+	if f.held.Load()+max(r.ContentLength, unknownBody) > maxHeld {
+		return nil, mesh.NotRun(header.NodeBusy, "the node holds too many request bodies")
+	}
+	// A caller that sends its body slowly is given up at the deadline.
+	if err := http.NewResponseController(c.Response()).SetReadDeadline(call.Deadline); err != nil {
+		return nil, mesh.NotRun(header.BodyBroken, "the body cannot be read: %v", err)
+	}
+	body, err := readAll(http.MaxBytesReader(c.Response(), r.Body, most), r.ContentLength)
+	f.held.Add(int64(cap(body)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return body, mesh.NotRun(header.BodyTooLarge, "the body has more than %d bytes", most)
+	case err != nil:
+		return body, mesh.NotRun(header.BodyBroken, "the body could not be read: %v", err)
+	}
+	if err := http.NewResponseController(c.Response()).SetReadDeadline(time.Time{}); err != nil {
+		return body, mesh.NotRun(header.BodyBroken, "the connection broke: %v", err)
+	}
+	return body, nil
+}
+
+func readAll(source io.Reader, length int64) (body []byte, err error) {
+	if length < 0 {
+		return io.ReadAll(source)
+	}
+	body = make([]byte, length)
+	_, err = io.ReadFull(source, body)
+	return body, err
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host",
+}
+
+// passed returns the headers that go on to the next hop.
+func passed(h http.Header) (kept mesh.Headers) {
+	kept = make(mesh.Headers, len(h)+4)
+	var named []string
+	for _, line := range h["Connection"] {
+		for token := range strings.SplitSeq(line, ",") {
+			named = append(named, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(token)))
+		}
+	}
+	for name, values := range h {
+		if slices.Contains(hopHeaders, name) || slices.Contains(named, name) || strings.HasPrefix(name, header.Prefix) {
+			continue
+		}
+		kept[name] = values
+	}
+	return kept
+}
+
+// payload is a request as it goes over links.
+type payload struct {
+	mesh.Payload
+	host string
+}
+
+func newPayload(r *http.Request, body []byte) (p *payload) {
+	return &payload{
+		Payload: mesh.Payload{Method: r.Method, Path: r.RequestURI, Header: passed(r.Header), Body: body},
+		host:    r.Host,
+	}
+}
+
+// end writes the answer or the refusal of a request and records it.
+func (f *front) end(c echo.Context, started time.Time, call *mesh.Call, answer *mesh.Answer, refusal *mesh.Refusal) (err error) {
+	m := meter.Measurement{Outcome: header.Ran, Latency: time.Since(started), Organisation: call.Organisation, Class: call.Class}
+	if call.Route != nil {
+		m.Route = call.Route.Name
+	}
+	if refusal != nil {
+		m.Outcome, m.Code = refusal.Outcome, refusal.Code
+		f.explain(call, refusal, m.Latency)
+	}
+	f.meter.Record(m)
+	if refusal != nil {
+		return f.refuse(c, refusal)
+	}
+	return f.write(c, answer)
+}
+
+// explain logs why a request was not answered by a target.
+func (f *front) explain(call *mesh.Call, refusal *mesh.Refusal, latency time.Duration) {
+	fields := logs.Fields{
+		"request": call.Label, "outcome": refusal.Outcome, "code": refusal.Code, "reason": refusal.Message,
+		"organisation": call.Organisation, "class": call.Class.String(), "latency-ms": latency.Milliseconds(),
+	}
+	if call.Route != nil {
+		fields["route"], fields["service"] = call.Route.Name, call.RunsAt()
+	}
+	if view := f.follow.view.Load(); view != nil && view.Rules != nil {
+		fields["rules-version"], fields["as-of"] = view.Rules.Version, view.AsOf
+	}
+	f.log.Decided("request refused", fields)
+}
+
+func (f *front) refuse(c echo.Context, refusal *mesh.Refusal) (err error) {
+	h := c.Response().Header()
+	status := f.dialect.Refuse(mesh.Headers(h), refusal)
+	if c.Request().Context().Err() != nil {
+		// The caller has left, so nobody reads this.
+		return nil
+	}
+	return c.String(status, refusal.Message+"\n")
+}
+
+// write passes a target's answer on. It closes the connection when the answer
+// breaks off, so that a part cannot pass for the whole.
+func (f *front) write(c echo.Context, a *mesh.Answer) (err error) {
+	defer a.Body.Close()
+	h := c.Response().Header()
+	for name, values := range passed(http.Header(a.Header)) {
+		h[name] = values
+	}
+	if a.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	c.Response().WriteHeader(a.Status)
+	if _, err := io.Copy(c.Response(), a.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/mesh/agent/member.go
@@ -0,0 +1,317 @@
+package agent
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/beat"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/fleet"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/quota"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
+)
+
+const (
+	memberRing = 1024
+
+	// memberTick is how often the member duty looks for beats that are due.
+	memberTick = 100 * time.Millisecond
+
+	// urgentBeats is how often a change that keeps work away is told to all
+	// hosts at once, since datagrams get lost.
+	urgentBeats = 3
+
+	// reportAge is how long a target may be silent before it takes no more
+	// work. Targets report about every 1.5 s, and reports may be seconds late.
+	reportAge = 8 * time.Second
+)
+
+// memberDuty owns what this node knows of the fleet. Full ring: beats are
+// dropped, since the next one is complete; reports of targets wait.
+type memberDuty struct {
+	events *ring.Ring
+	state  *fleet.State
+	view   atomic.Pointer[fleet.View]
+	socket *net.UDPConn
+	log    logs.Log
+
+	quota  *quotaDuty
+	gate   *gateDuty
+	follow *followDuty
+	fetch  *fetchDuty
+
+	// sequences holds the last report of each target of this host.
+	sequences map[netip.AddrPort]sequence
+
+	// urgent is how many more beats go to all hosts at once.
+	urgent int
+	ticked time.Time
+	beats  *expvar.Int
+}
+
+// sequence orders the reports of a target. Incarnation goes before number.
+type sequence struct {
+	incarnation mesh.Incarnation
+	number      uint64
+	at          time.Time
+}
+
+func newMemberDuty(vars *expvar.Map, self mesh.Host, log logs.Log) (d *memberDuty) {
+	d = &memberDuty{
+		events:    ring.New(vars, "member", memberRing),
+		state:     fleet.New(self),
+		sequences: make(map[netip.AddrPort]sequence),
+		log:       log,
+		beats:     new(expvar.Int),
+	}
+	vars.Set("beats-sent", d.beats)
+	vars.Set("hosts-known", expvar.Func(func() any { return d.View().Known }))
+	vars.Set("hosts-heard", expvar.Func(func() any { return len(d.View().Peers) + 1 }))
+	d.view.Store(d.state.View(time.Now()))
+	return d
+}
+
+// Name implements mesh.Duty.
+func (d *memberDuty) Name() string { return "member" }
+
+// View returns the fleet as it was last seen.
+func (d *memberDuty) View() (v *fleet.View) { return d.view.Load() }
+
+type heardBeat struct{ beat *beat.Beat }
+
+type listedHosts struct{ hosts []mesh.Host }
+
+// announced brings a report of the target on this host.
+type announced struct {
+	announcement mesh.Announcement
+	done         ring.Reply
+}
+
+type leaving struct{}
+
+// EventName implements mesh.Event.
+func (heardBeat) EventName() string { return "heard-beat" }
+
+// EventName implements mesh.Event.
+func (listedHosts) EventName() string { return "listed-hosts" }
+
+// EventName implements mesh.Event.
+func (announced) EventName() string { return "announced" }
+
+// EventName implements mesh.Event.
+func (leaving) EventName() string { return "leaving" }
+
+// Announce takes in a report of a target and returns once it is in force at
+// this node.
+func (d *memberDuty) Announce(ctx context.Context, a mesh.Announcement) (err error) {
+	done := ring.NewReply()
+	if err := d.events.Send(ctx, announced{announcement: a, done: done}); err != nil {
+		return err
+	}
+	select {
+	case <-done.Events():
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// Run implements mesh.Duty.
+func (d *memberDuty) Run(ctx context.Context) (err error) {
+	ticker := time.NewTicker(memberTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			d.tick(ctx, now)
+		case e := <-d.events.Events():
+			d.handle(ctx, time.Now(), e)
+		}
+	}
+}
+
+func (d *memberDuty) handle(ctx context.Context, now time.Time, e mesh.Event) {
+	switch e := e.(type) {
+	case heardBeat:
+		d.hear(now, e.beat)
+	case announced:
+		d.announce(ctx, now, e)
+	case listedHosts:
+		for _, h := range e.hosts {
+			if d.state.Meet(h) {
+				d.urgent = max(d.urgent, 1)
+			}
+		}
+		d.publish(now)
+	case newOrders:
+		d.state.TakeOut(e.Out)
+		d.publish(now)
+	case leaving:
+		d.state.Leave()
+		d.publish(now)
+		d.spread(ctx, now)
+	}
+}
+
+func (d *memberDuty) hear(now time.Time, b *beat.Beat) {
+	known := d.View().Known
+	if d.state.Hear(now, b.Host) {
+		d.publish(now)
+		if d.View().Known > known {
+			d.log.Decided("a host joined", logs.Fields{"host": b.Host.Addr.String(), "zone": b.Host.Zone})
+		}
+	}
+	d.quota.events.Offer(heardUsage{report: b.Usage, known: d.View().Known})
+	d.compare(b)
+}
+
+// compare asks a host for its orders when they are newer than this node's.
+func (d *memberDuty) compare(b *beat.Beat) {
+	own := d.follow.view.Load()
+	if own == nil {
+		own = new(inForce)
+	}
+	newer := own.Rules == nil && b.Rules > 0 || own.Rules != nil && b.Rules > own.Rules.Version
+	if newer || b.AsOf > own.AsOf && b.OutDigest != own.outDigest {
+		d.fetch.events.Offer(newerOrders{from: b.Host.Addr, rules: b.Rules, asOf: b.AsOf})
+	}
+}
+
+// announce takes in a report unless a newer one of the target was seen.
+func (d *memberDuty) announce(ctx context.Context, now time.Time, e announced) {
+	defer e.done.Answer(e)
+	a := e.announcement
+	if a.Gone {
+		if d.state.Withdraw(a.Target.Name) {
+			d.log.Decided("the target ended", logs.Fields{"target": a.Target.Name})
+			_ = d.gate.events.Send(ctx, targetGone{name: a.Target.Name})
+			d.publish(now)
+			d.spread(ctx, now)
+		}
+		return
+	}
+	last := d.sequences[a.Target.Addr]
+	if a.Target.Incarnation < last.incarnation || a.Target.Incarnation == last.incarnation && a.Sequence < last.number {
+		d.log.Decided("a late report is ignored", logs.Fields{"target": a.Target.Name, "sequence": a.Sequence, "last-sequence": last.number})
+		return
+	}
+	d.sequences[a.Target.Addr] = sequence{incarnation: a.Target.Incarnation, number: a.Sequence, at: now}
+	_ = d.gate.events.Send(ctx, targetReported{target: a.Target})
+	before := d.state.Self().Targets
+	if !d.state.Announce(a.Target) {
+		return
+	}
+	d.publish(now)
+	if len(before) == 0 || before[0].Name != a.Target.Name || before[0].Draining != a.Target.Draining {
+		d.log.Decided("the target reported a new state", logs.Fields{
+			"target": a.Target.Name, "service": a.Target.Service, "slots": a.Target.Slots,
+			"draining": a.Target.Draining, "cold-until": a.Target.ColdUntil,
+		})
+		d.spread(ctx, now)
+	}
+}
+
+// spread tells all hosts of a change at once, and again with the next beats.
+func (d *memberDuty) spread(ctx context.Context, now time.Time) {
+	d.urgent = urgentBeats
+	d.beat(ctx, now)
+}
+
+func (d *memberDuty) publish(now time.Time) { d.view.Store(d.state.View(now)) }
+
+func (d *memberDuty) tick(ctx context.Context, now time.Time) {
+	for addr, s := range d.sequences {
+		if now.Sub(s.at) > reportAge {
+			d.expire(ctx, now, addr)
+		}
+	}
+	if d.state.Forget(now, d.ticked) {
+		d.publish(now)
+	}
+	d.ticked = now
+	d.beat(ctx, now)
+}
+
+// expire ends a target that has not reported for long.
+func (d *memberDuty) expire(ctx context.Context, now time.Time, addr netip.AddrPort) {
+	delete(d.sequences, addr)
+	for _, t := range d.state.Self().Targets {
+		if t.Addr == addr && d.state.Withdraw(t.Name) {
+			d.log.Decided("the target fell silent", logs.Fields{"target": t.Name, "silence": reportAge.String()})
+			_ = d.gate.events.Send(ctx, targetGone{name: t.Name})
+			d.publish(now)
+			d.spread(ctx, now)
+		}
+	}
+}
+
+// beat sends a beat to the hosts to which one is due.
+func (d *memberDuty) beat(ctx context.Context, now time.Time) {
+	due := d.state.Due(now, d.urgent > 0)
+	d.urgent = max(0, d.urgent-1)
+	if len(due) == 0 {
+		return
+	}
+	self := d.state.Self()
+	b := &beat.Beat{
+		Host:  self,
+		Usage: quota.Report{From: self.Addr, Incarnation: self.Incarnation, Usage: d.quota.Usage(ctx)},
+	}
+	if own := d.follow.view.Load(); own != nil {
+		b.AsOf, b.OutDigest = own.AsOf, own.outDigest
+		if own.Rules != nil {
+			b.Rules = own.Rules.Version
+		}
+	}
+	data, err := beat.Encode(now, b)
+	if err != nil {
+		d.log.Errorf("no beat was sent: %v.", err)
+		return
+	}
+	for _, addr := range due {
+		if _, err := d.socket.WriteToUDPAddrPort(data, addr); err == nil {
+			d.beats.Add(1)
+		}
+	}
+}
+
+// earDuty reads the beats of other hosts.
+type earDuty struct {
+	socket *net.UDPConn
+	member *memberDuty
+	log    logs.Log
+}
+
+// Name implements mesh.Duty.
+func (d *earDuty) Name() string { return "ear" }
+
+// Run implements mesh.Duty.
+func (d *earDuty) Run(ctx context.Context) (err error) {
+	stop := context.AfterFunc(ctx, func() { _ = d.socket.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	buffer := make([]byte, beat.MaxBytes+1)
+	for ctx.Err() == nil {
+		n, from, err := d.socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			continue
+		}
+		if n > beat.MaxBytes {
+			d.log.Warnf("a datagram of %v is larger than %d bytes and is ignored.", from, beat.MaxBytes)
+			continue
+		}
+		b, err := beat.Decode(time.Now(), buffer[:n])
+		if err != nil {
+			d.log.Warnf("a datagram of %v is ignored: %v.", from, err)
+			continue
+		}
+		d.member.events.Offer(heardBeat{beat: b})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/mesh/agent/pass.go
@@ -0,0 +1,78 @@
+package agent
+
+import (
+	"encoding/base64"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// pass describes a call to the node of its target.
+type pass struct {
+	Route        string `cbor:"route"`
+	Service      string `cbor:"service"`
+	Caller       string `cbor:"caller"`
+	Label        string `cbor:"label"`
+	Organisation string `cbor:"organisation"`
+	Class        uint8  `cbor:"class"`
+	Idempotent   bool   `cbor:"idempotent"`
+
+	// Target is the target that the sender chose.
+	Target string `cbor:"target"`
+
+	// Left is the remaining time in microseconds. The clocks of hosts differ.
+	Left int64 `cbor:"left"`
+}
+
+// sealPass returns the header value that describes a call.
+func sealPass(now time.Time, call *mesh.Call, to mesh.Endpoint) (value string, err error) {
+	data, err := cbor.Marshal(pass{
+		Route: call.Route.Name, Service: string(call.RunsAt()), Caller: string(call.Caller), Label: call.Label,
+		Organisation: string(call.Organisation), Class: uint8(call.Class), Idempotent: call.Route.Idempotent,
+		Target: to.Target.Name, Left: passedTime(call.Remaining(now)).Microseconds(),
+	})
+	return base64.RawStdEncoding.EncodeToString(data), err
+}
+
+// openPass returns the call that a header value describes, and the name of its
+// target. The node of the target does not look its route up: the sender's rules
+// may be newer.
+func openPass(now time.Time, value string) (call *mesh.Call, target string, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("pass of %d bytes: %w", len(value), err)
+		}
+	}()
+	data, err := base64.RawStdEncoding.DecodeString(value)
+	if err != nil {
+		return nil, "", err
+	}
+	var p pass
+	if err := cbor.Unmarshal(data, &p); err != nil {
+		return nil, "", err
+	}
+	if p.Service == "" || p.Label == "" || p.Class >= mesh.ClassCount {
+		return nil, "", fmt.Errorf("service %q, request %q and class %d describe no call", p.Service, p.Label, p.Class)
+	}
+	return &mesh.Call{
+		Route:        &mesh.Route{Name: p.Route, Service: mesh.ServiceName(p.Service), Idempotent: p.Idempotent},
+		Label:        p.Label,
+		Caller:       mesh.ServiceName(p.Caller),
+		Class:        mesh.Class(p.Class),
+		Organisation: mesh.OrganisationName(p.Organisation),
+		Weight:       1,
+		Deadline:     now.Add(time.Duration(p.Left) * time.Microsecond),
+	}, p.Target, nil
+}
+
+// maxReturnMargin bounds the time that a hop keeps for the way back.
+const maxReturnMargin = 10 * time.Millisecond
+
+// passedTime returns the part of the remaining time that the next hop may use.
+// The rest lets a refusal that it makes at its deadline arrive as not run.
+func passedTime(remaining time.Duration) (passed time.Duration) {
+	return remaining - min(maxReturnMargin, remaining/10)
+}
--- /dev/null
+++ b/internal/mesh/agent/relay.go
@@ -0,0 +1,221 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/rules"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// maxHops bounds how many nodes are asked for one request. Those that refuse
+// before they send it to their target cost no attempt.
+const maxHops = 5
+
+// relay takes a call to a target and repeats it where that is allowed.
+func (f *front) relay(ctx context.Context, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
+	var tried []netip.AddrPort
+	for range maxHops {
+		to, failure := f.choose(ctx, call, tried)
+		if failure != nil {
+			return nil, final(refusal, failure)
+		}
+		answer, failure = f.attempt(ctx, to, call, p)
+		if failure == nil {
+			return answer, nil
+		}
+		tried = append(tried, to.Host)
+		refusal = final(refusal, failure)
+		if !f.mayRepeat(ctx, call, refusal) {
+			return nil, refusal
+		}
+	}
+	return nil, refusal
+}
+
+// choose returns the target of the next attempt. The key is looked up again,
+// since it may have been withdrawn meanwhile.
+func (f *front) choose(ctx context.Context, call *mesh.Call, tried []netip.AddrPort) (to mesh.Endpoint, refusal *mesh.Refusal) {
+	view := f.follow.View()
+	if call.Organisation != "" {
+		if _, found := view.index.Holder(call.Key); !found {
+			return to, mesh.NotRun(header.KeyWithdrawn, "the key was withdrawn in rules version %d", view.Rules.Version)
+		}
+	}
+	if route, found := view.index.Named(call.Route.Name); found && route != call.Route && !view.index.Allows(route, call.RunsAt()) {
+		// The rules changed between the look-up and the choice.
+		call.Route, call.Service = route, rules.Portion(route, 0)
+	}
+	return f.place.Pick(ctx, call, tried)
+}
+
+// final returns how a request ends whose attempts ended as earlier and then as
+// last. After an attempt that may have run the outcome stays unknown.
+func final(earlier, last *mesh.Refusal) (refusal *mesh.Refusal) {
+	switch {
+	case earlier == nil:
+		return last
+	case earlier.Outcome == header.Unknown && last.Outcome == header.NotRun, last.Code == header.NoTarget:
+		return earlier
+	default:
+		return last
+	}
+}
+
+// mayRepeat reports whether a call may go to another target after a failure.
+// A call that no target has seen may; any other takes an attempt and a repeat
+// from the budget of its service, and must be one that may run twice.
+func (f *front) mayRepeat(ctx context.Context, call *mesh.Call, refusal *mesh.Refusal) (allowed bool) {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch {
+	case refusal.Outcome == header.NotRun && !refusal.Code.Retryable():
+		return false
+	case refusal.Outcome == header.NotRun && refusal.Code != header.TargetRefused:
+		return true
+	case refusal.Outcome == header.Unknown && !(call.Route.Idempotent && refusal.Code == header.AnswerLost):
+		return false
+	}
+	if call.Attempts == 0 || !f.place.MayRepeat(ctx, call.RunsAt()) {
+		return false
+	}
+	call.Attempts--
+	return true
+}
+
+// attempt sends a call to one target, over a link or on this host.
+func (f *front) attempt(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
+	if to.Host == f.settings.Peers {
+		answer, refusal = f.serve(ctx, call, to.Target.Name, p)
+	} else {
+		answer, refusal = f.carry(ctx, to, call, p)
+	}
+	report := mesh.LinkReport{To: to, Call: call, Refusal: refusal, Level: mesh.ClassLow}
+	switch {
+	case refusal == nil:
+		report.Load, report.Level = answer.Load, answer.Level
+	case refusal.Code == header.Overloaded:
+		report.Level = refusal.Level
+	}
+	f.place.Report(report)
+	return answer, refusal
+}
+
+// links holds the connections to the nodes of other hosts.
+type links struct {
+	mu    sync.Mutex
+	pools map[netip.AddrPort]*link.Pool
+}
+
+func newLinks() (l *links) { return &links{pools: make(map[netip.AddrPort]*link.Pool)} }
+
+func (l *links) to(addr netip.AddrPort) (p *link.Pool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, found := l.pools[addr]
+	if !found {
+		p = link.NewPool(addr)
+		l.pools[addr] = p
+	}
+	return p
+}
+
+// carry sends a call to the node of its target.
+func (f *front) carry(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
+	seal, err := sealPass(time.Now(), call, to)
+	if err != nil {
+		return nil, mesh.NotRun(header.PassInvalid, "%v", err)
+	}
+	headers := make(mesh.Headers, len(p.Header)+1)
+	for name, values := range p.Header {
+		headers[name] = values
+	}
+	headers[header.Pass] = []string{seal}
+	response, sent, err := f.links.to(to.Host).Exchange(ctx, &link.Request{
+		Method: p.Method, Path: p.Path, Host: p.host, Headers: headers, Body: p.Body,
+		Accept: func(_ int, h mesh.Headers) bool { return first(h, header.RequestID) == call.Label },
+	})
+	if err != nil {
+		return nil, failed(sent, err, "node of the target")
+	}
+	return f.takeAnswer(response)
+}
+
+// first returns the first value of a header whose name is canonical.
+func first(h mesh.Headers, name string) (value string) {
+	if values := h[name]; len(values) > 0 {
+		return values[0]
+	}
+	return ""
+}
+
+// failed turns the error of an exchange into a refusal.
+func failed(sent bool, err error, what string) (refusal *mesh.Refusal) {
+	ended := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+	switch {
+	case ended && !sent:
+		return mesh.NotRun(header.DeadlineExceeded, "the deadline passed or the caller left before the request was sent to the %s", what)
+	case !sent:
+		return mesh.NotRun(header.TargetUnreachable, "the %s cannot be reached: %s", what, link.Describe(err))
+	case ended:
+		return mesh.Unknown(header.DeadlineExceeded, "the deadline passed or the caller left while the request ran")
+	default:
+		return mesh.Unknown(header.AnswerLost, "the answer of the %s was lost: %s", what, link.Describe(err))
+	}
+}
+
+// takeAnswer reads what the node of a target answered.
+func (f *front) takeAnswer(r *link.Response) (answer *mesh.Answer, refusal *mesh.Refusal) {
+	outcome := header.OutcomeValue(first(r.Header, header.Outcome))
+	level := levelIn(r.Header)
+	if outcome == header.Ran {
+		// A load that cannot be read says nothing; zero stands for that.
+		load, _ := strconv.Atoi(first(r.Header, header.Load))
+		return &mesh.Answer{Status: r.Status, Header: r.Header, Body: r.Body, Length: r.Length, Level: level, Load: load}, nil
+	}
+	defer r.Body.Close()
+	code := header.RefusalCode(first(r.Header, header.Code))
+	if code == "" || outcome != header.NotRun && outcome != header.Unknown {
+		return nil, mesh.Unknown(header.AnswerLost, "the node of the target answered %d without an outcome", r.Status)
+	}
+	refusal = &mesh.Refusal{Code: code, Outcome: outcome, Message: first(r.Header, reasonHeader), Level: level}
+	if milliseconds, err := strconv.Atoi(first(r.Header, waitHeader)); err == nil {
+		refusal.RetryAfter = time.Duration(milliseconds) * time.Millisecond
+	}
+	return nil, refusal
+}
+
+// Headers of a refusal between nodes.
+const (
+	reasonHeader = header.Prefix + "Reason"
+
+	// waitHeader is when a resend has a chance, in milliseconds.
+	waitHeader = header.Prefix + "Wait"
+)
+
+// levelIn returns the level in an answer; one without a level accepts all.
+func levelIn(h mesh.Headers) (level mesh.Class) {
+	number, err := strconv.Atoi(first(h, header.Level))
+	if err != nil || number < 0 || number >= mesh.ClassCount {
+		return mesh.ClassLow
+	}
+	return mesh.Class(number)
+}
+
+// refuseLink writes a refusal to another node.
+func refuseLink(h http.Header, label string, r *mesh.Refusal) {
+	h.Set(header.RequestID, label)
+	h.Set(header.Outcome, string(r.Outcome))
+	h.Set(header.Code, string(r.Code))
+	h.Set(header.Level, strconv.Itoa(int(r.Level)))
+	h.Set(reasonHeader, r.Message)
+	h.Set(waitHeader, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+}
--- /dev/null
+++ b/internal/mesh/agent/serve.go
@@ -0,0 +1,114 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/gate"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
+)
+
+// peer serves a call that the node of another host sends.
+func (f *front) peer(c echo.Context) (err error) {
+	r := c.Request()
+	if f.leaving.Load() {
+		c.Response().Header().Set("Connection", "close")
+	}
+	call, target, err := openPass(time.Now(), r.Header.Get(header.Pass))
+	if err != nil {
+		f.log.Warnf("a call of %s is refused: %v.", r.RemoteAddr, err)
+		return c.String(http.StatusBadRequest, err.Error()+"\n")
+	}
+	if f.follow.View() == nil {
+		refuseLink(c.Response().Header(), call.Label, notReady())
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	body, refusal := f.read(c, call)
+	defer f.held.Add(-int64(cap(body)))
+	if refusal != nil {
+		refuseLink(c.Response().Header(), call.Label, refusal)
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+	defer cancel()
+	answer, refusal := f.serve(ctx, call, target, newPayload(r, body))
+	if refusal != nil {
+		refuseLink(c.Response().Header(), call.Label, refusal)
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	h := c.Response().Header()
+	h.Set(header.RequestID, call.Label)
+	h.Set(header.Outcome, string(header.Ran))
+	h.Set(header.Level, strconv.Itoa(int(answer.Level)))
+	h.Set(header.Load, strconv.Itoa(answer.Load))
+	return f.write(c, answer)
+}
+
+// serve runs a call at the target of this host.
+func (f *front) serve(ctx context.Context, call *mesh.Call, target string, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
+	in := f.gate.Enter(ctx, call, target)
+	if in.refusal != nil {
+		refusal = in.refusal
+		if refusal.Code == header.Overloaded {
+			copied := *refusal
+			copied.Level = in.level
+			refusal = &copied
+		}
+		return nil, refusal
+	}
+	started := time.Now()
+	answer, refusal = f.send(ctx, in, call, p)
+	finished := gate.Finished{Ticket: in.ticket, Latency: time.Since(started)}
+	if refusal != nil {
+		finished.Overloaded = refusal.Code == header.TargetRefused
+		finished.Unreachable = refusal.Code == header.TargetUnreachable
+		finished.TimedOut = refusal.Outcome == header.Unknown && refusal.Code == header.DeadlineExceeded
+		// The latency of a lost answer says as little as that of a request
+		// that did not run.
+		finished.NotRun = !finished.Overloaded && !finished.Unreachable && !finished.TimedOut
+		f.gate.Leave(finished)
+		return nil, refusal
+	}
+	answer.Level, answer.Load = in.level, in.load
+	f.gate.Leave(finished)
+	return answer, nil
+}
+
+// send sends a call to the target and judges its answer.
+func (f *front) send(ctx context.Context, in entered, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
+	headers := make(mesh.Headers, len(p.Header)+4)
+	for name, values := range p.Header {
+		headers[name] = values
+	}
+	f.dialect.Deliver(headers, call, *in.target, call.Remaining(time.Now()))
+	var verdict mesh.Verdict
+	response, sent, err := f.target.Exchange(ctx, &link.Request{
+		Method: p.Method, Path: p.Path, Host: p.host, Headers: headers, Body: p.Body,
+		Accept: func(status int, h mesh.Headers) bool {
+			verdict = f.dialect.Judge(status, h)
+			return verdict.ID == "" || verdict.ID == call.Label
+		},
+	})
+	if err != nil {
+		return nil, failed(sent, err, "target")
+	}
+	answer = &mesh.Answer{Status: response.Status, Header: response.Header, Body: response.Body, Length: response.Length}
+	switch {
+	case verdict.OtherTarget:
+		response.Body.Close()
+		return nil, mesh.NotRun(header.TargetDraining, "another target answers at the address of %q", in.target.Name)
+	case verdict.NotRun:
+		response.Body.Close()
+		return nil, mesh.NotRun(header.TargetRefused, "the target did not run the request (status %d)", response.Status)
+	case response.Status < http.StatusMultipleChoices && !verdict.Proven:
+		response.Body.Close()
+		return nil, mesh.Unknown(header.AnswerLost, "the answer with status %d does not show that the target made it", response.Status)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/mesh/agent/settings.go
@@ -0,0 +1,48 @@
+// Package agent is the node of a fleet whose rules, targets and headers are
+// those of a platform: it joins the duties by rings and serves the listeners.
+// What the platform calls things is known only to the implementations of
+// mesh.Source, mesh.Registry and mesh.Dialect.
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// Settings are what a node has to know before it reads any rules.
+type Settings struct {
+	Zone mesh.ZoneName
+
+	// Service is the service of the target on this host.
+	Service mesh.ServiceName
+
+	// Target is where the target on this host listens.
+	Target netip.AddrPort
+
+	// Callers takes requests of callers and of the target on this host.
+	Callers netip.AddrPort
+
+	// Peers takes requests (TCP) and beats (UDP) of other nodes. It names the
+	// host in the fleet, and its port is the same on all hosts.
+	Peers netip.AddrPort
+
+	// Ready answers whether callers may send, Reports takes the reports of
+	// the target and Metrics shows what is measured.
+	Ready, Reports, Metrics netip.AddrPort
+
+	// LeaveTime is how long the node has from the signal to stop until it
+	// must have ended.
+	LeaveTime time.Duration
+
+	// DrainTime is how long after its report a draining target still takes
+	// requests that are on their way.
+	DrainTime time.Duration
+
+	// RetryRatio and RetrySlack bound the repeats to each service over all
+	// hosts: at most the ratio of its requests and the slack in RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
