--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -49,6 +49,9 @@
 // the memory of the smallest hosts.
 const maxHeld = 48 << 20
 
+// discardBytes is how much of a body that is too large is read, in bytes.
+const discardBytes = 1 << 20
+
 // unknownBody is what a body of unknown length counts until it is read.
 const unknownBody = 64 << 10
 
@@ -132,6 +135,9 @@
 	}
 	most := f.follow.View().Rules.Limits.BodyBytes
 	if r.ContentLength > most {
+		// A connection that is closed with unread bytes is reset, which can
+		// overtake the refusal. A failure to read changes nothing about it.
+		_, _ = io.CopyN(io.Discard, r.Body, discardBytes)
 		return nil, mesh.NotRun(header.BodyTooLarge, "the body has %d bytes, more than %d", r.ContentLength, most)
 	}
 	if f.held.Load()+max(r.ContentLength, unknownBody) > maxHeld {
--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -4,7 +4,6 @@
 	"context"
 	"expvar"
 	"net"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -25,10 +24,6 @@
 	// urgentBeats is how often a change that keeps work away is told to all
 	// hosts at once, since datagrams get lost.
 	urgentBeats = 3
-
-	// reportAge is how long a target may be silent before it takes no more
-	// work. Targets report about every 1.5 s, and reports may be seconds late.
-	reportAge = 8 * time.Second
 )
 
 // memberDuty owns what this node knows of the fleet. Full ring: beats are
@@ -45,29 +40,18 @@
 	follow *followDuty
 	fetch  *fetchDuty
 
-	// sequences holds the last report of each target of this host.
-	sequences map[netip.AddrPort]sequence
-
 	// urgent is how many more beats go to all hosts at once.
 	urgent int
 	ticked time.Time
 	beats  *expvar.Int
 }
 
-// sequence orders the reports of a target. Incarnation goes before number.
-type sequence struct {
-	incarnation mesh.Incarnation
-	number      uint64
-	at          time.Time
-}
-
 func newMemberDuty(vars *expvar.Map, self mesh.Host, log logs.Log) (d *memberDuty) {
 	d = &memberDuty{
-		events:    ring.New(vars, "member", memberRing),
-		state:     fleet.New(self),
-		sequences: make(map[netip.AddrPort]sequence),
-		log:       log,
-		beats:     new(expvar.Int),
+		events: ring.New(vars, "member", memberRing),
+		state:  fleet.New(self),
+		log:    log,
+		beats:  new(expvar.Int),
 	}
 	vars.Set("beats-sent", d.beats)
 	vars.Set("hosts-known", expvar.Func(func() any { return d.View().Known }))
@@ -184,28 +168,26 @@
 	}
 }
 
-// announce takes in a report unless a newer one of the target was seen.
+// announce takes in a report of the target.
 func (d *memberDuty) announce(ctx context.Context, now time.Time, e announced) {
 	defer e.done.Answer(e)
 	a := e.announcement
 	if a.Gone {
-		if d.state.Withdraw(a.Target.Name) {
-			d.log.Decided("the target ended", logs.Fields{"target": a.Target.Name})
-			_ = d.gate.events.Send(ctx, targetGone{name: a.Target.Name})
-			d.publish(now)
-			d.spread(ctx, now)
+		if d.state.End(now, a.Target.Name) {
+			d.end(ctx, now, a.Target.Name, "the target ended")
 		}
 		return
 	}
-	last := d.sequences[a.Target.Addr]
-	if a.Target.Incarnation < last.incarnation || a.Target.Incarnation == last.incarnation && a.Sequence < last.number {
-		d.log.Decided("a late report is ignored", logs.Fields{"target": a.Target.Name, "sequence": a.Sequence, "last-sequence": last.number})
+	before := d.state.Self().Targets
+	accepted, changed := d.state.Report(now, a)
+	if !accepted {
+		d.log.Decided("a late report is ignored", logs.Fields{
+			"target": a.Target.Name, "incarnation": a.Target.Incarnation, "sequence": a.Sequence,
+		})
 		return
 	}
-	d.sequences[a.Target.Addr] = sequence{incarnation: a.Target.Incarnation, number: a.Sequence, at: now}
 	_ = d.gate.events.Send(ctx, targetReported{target: a.Target})
-	before := d.state.Self().Targets
-	if !d.state.Announce(a.Target) {
+	if !changed {
 		return
 	}
 	d.publish(now)
@@ -218,6 +200,14 @@
 	}
 }
 
+// end tells everybody that a target takes no more work.
+func (d *memberDuty) end(ctx context.Context, now time.Time, target, reason string) {
+	d.log.Decided(reason, logs.Fields{"target": target})
+	_ = d.gate.events.Send(ctx, targetGone{name: target})
+	d.publish(now)
+	d.spread(ctx, now)
+}
+
 // spread tells all hosts of a change at once, and again with the next beats.
 func (d *memberDuty) spread(ctx context.Context, now time.Time) {
 	d.urgent = urgentBeats
@@ -227,10 +217,8 @@
 func (d *memberDuty) publish(now time.Time) { d.view.Store(d.state.View(now)) }
 
 func (d *memberDuty) tick(ctx context.Context, now time.Time) {
-	for addr, s := range d.sequences {
-		if now.Sub(s.at) > reportAge {
-			d.expire(ctx, now, addr)
-		}
+	for _, name := range d.state.Expire(now) {
+		d.end(ctx, now, name, "the target fell silent")
 	}
 	if d.state.Forget(now, d.ticked) {
 		d.publish(now)
@@ -239,19 +227,6 @@
 	d.beat(ctx, now)
 }
 
-// expire ends a target that has not reported for long.
-func (d *memberDuty) expire(ctx context.Context, now time.Time, addr netip.AddrPort) {
-	delete(d.sequences, addr)
-	for _, t := range d.state.Self().Targets {
-		if t.Addr == addr && d.state.Withdraw(t.Name) {
-			d.log.Decided("the target fell silent", logs.Fields{"target": t.Name, "silence": reportAge.String()})
-			_ = d.gate.events.Send(ctx, targetGone{name: t.Name})
-			d.publish(now)
-			d.spread(ctx, now)
-		}
-	}
-}
-
 // beat sends a beat to the hosts to which one is due.
 func (d *memberDuty) beat(ctx context.Context, now time.Time) {
 	due := d.state.Due(now, d.urgent > 0)
@@ -294,12 +269,16 @@
 
 // Run implements mesh.Duty.
 func (d *earDuty) Run(ctx context.Context) (err error) {
-	stop := context.AfterFunc(ctx, func() { _ = d.socket.SetReadDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = d.socket.Close() })
 	defer stop()
 	buffer := make([]byte, beat.MaxBytes+1)
 	for ctx.Err() == nil {
 		n, from, err := d.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
+			if ctx.Err() == nil {
+				d.log.Warnf("no datagram could be read: %v.", err)
+				wait(ctx, memberTick)
+			}
 			continue
 		}
 		if n > beat.MaxBytes {
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -93,12 +93,13 @@
 
 // attempt sends a call to one target, over a link or on this host.
 func (f *front) attempt(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
+	reached := true
 	if to.Host == f.settings.Peers {
 		answer, refusal = f.serve(ctx, call, to.Target.Name, p)
 	} else {
-		answer, refusal = f.carry(ctx, to, call, p)
+		answer, reached, refusal = f.carry(ctx, to, call, p)
 	}
-	report := mesh.LinkReport{To: to, Call: call, Refusal: refusal, Level: mesh.ClassLow}
+	report := mesh.LinkReport{To: to, Call: call, Refusal: refusal, Reached: reached, Level: mesh.ClassLow}
 	switch {
 	case refusal == nil:
 		report.Load, report.Level = answer.Load, answer.Level
@@ -128,11 +129,12 @@
 	return p
 }
 
-// carry sends a call to the node of its target.
-func (f *front) carry(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
+// carry sends a call to the node of its target. It reports whether that node
+// answered, be it with a refusal.
+func (f *front) carry(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload) (answer *mesh.Answer, reached bool, refusal *mesh.Refusal) {
 	seal, err := sealPass(time.Now(), call, to)
 	if err != nil {
-		return nil, mesh.NotRun(header.PassInvalid, "%v", err)
+		return nil, true, mesh.NotRun(header.PassInvalid, "%v", err)
 	}
 	headers := make(mesh.Headers, len(p.Header)+1)
 	for name, values := range p.Header {
@@ -144,9 +146,10 @@
 		Accept: func(_ int, h mesh.Headers) bool { return first(h, header.RequestID) == call.Label },
 	})
 	if err != nil {
-		return nil, failed(sent, err, "node of the target")
+		return nil, false, failed(sent, err, "node of the target")
 	}
-	return f.takeAnswer(response)
+	answer, refusal = f.takeAnswer(response)
+	return answer, true, refusal
 }
 
 // first returns the first value of a header whose name is canonical.
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -31,6 +31,14 @@
 	// maxRemoteLife is how long a silent host keeps its row. Its demand is
 	// reserved meanwhile, in case it lives behind a cut.
 	maxRemoteLife = 10 * time.Minute
+
+	// reportAge is how long a target may be silent before it takes no more
+	// work. Targets report about every 1.5 s, and reports may be seconds late.
+	reportAge = 8 * time.Second
+
+	// reportMemory is how long the last report of a target is remembered. A
+	// report is held up for seconds at most.
+	reportMemory = 10 * time.Minute
 )
 
 // State is what one node knows of the fleet. Only one duty may use it.
@@ -40,6 +48,20 @@
 
 	// out holds the zones that operators have taken out.
 	out map[mesh.ZoneName]bool
+
+	// reports holds what was last heard of each target of this host.
+	reports map[string]lastReport
+}
+
+// lastReport orders the reports of one target. The incarnation goes before the
+// sequence.
+type lastReport struct {
+	incarnation mesh.Incarnation
+	sequence    uint64
+	at          time.Time
+
+	// ended is true once this incarnation has said that it ends.
+	ended bool
 }
 
 // host is another host of the fleet.
@@ -68,7 +90,7 @@
 
 // New returns the state of a node that knows only its own host.
 func New(self mesh.Host) (s *State) {
-	return &State{self: self, hosts: make(map[netip.AddrPort]*host), out: make(map[mesh.ZoneName]bool)}
+	return &State{self: self, hosts: make(map[netip.AddrPort]*host), out: make(map[mesh.ZoneName]bool), reports: make(map[string]lastReport)}
 }
 
 // Self returns this node's own host as others should see it.
@@ -108,25 +130,50 @@
 	return changed
 }
 
-// Announce takes in a report of a target of this host. It reports false for a
-// report that came late, from an earlier start or before a newer report.
-func (s *State) Announce(t mesh.Target) (changed bool) {
+// Report takes in what a target of this host says about itself. Reports can
+// arrive late: one of an earlier start, one sent before the last, and one of a
+// target that has ended are not accepted.
+func (s *State) Report(now time.Time, a mesh.Announcement) (accepted, changed bool) {
+	t := a.Target
+	last, known := s.reports[t.Name]
+	switch {
+	case known && t.Incarnation < last.incarnation, s.replaced(t):
+		return false, false
+	case known && t.Incarnation == last.incarnation && (last.ended || a.Sequence < last.sequence):
+		return false, false
+	}
+	s.reports[t.Name] = lastReport{incarnation: t.Incarnation, sequence: a.Sequence, at: now}
 	i := slices.IndexFunc(s.self.Targets, func(known mesh.Target) bool { return known.Addr == t.Addr })
 	switch {
 	case i < 0:
 		s.self.Targets = append(slices.Clone(s.self.Targets), t)
-	case t.Incarnation < s.self.Targets[i].Incarnation, t == s.self.Targets[i]:
-		return false
+	case t == s.self.Targets[i]:
+		return true, false
 	default:
 		s.self.Targets = slices.Clone(s.self.Targets)
 		s.self.Targets[i] = t
 	}
 	s.self.Revision++
-	return true
+	return true, true
 }
 
-// Withdraw removes a target of this host that has ended.
-func (s *State) Withdraw(name string) (removed bool) {
+// replaced reports whether a target that started later has the address now.
+func (s *State) replaced(t mesh.Target) bool {
+	return slices.ContainsFunc(s.self.Targets, func(known mesh.Target) bool {
+		return known.Addr == t.Addr && known.Name != t.Name && t.Incarnation < known.Incarnation
+	})
+}
+
+// End removes a target of this host that has said that it ends. Reports that it
+// sent before may still arrive and are not accepted any more.
+func (s *State) End(now time.Time, name string) (removed bool) {
+	last := s.reports[name]
+	last.ended, last.at = true, now
+	s.reports[name] = last
+	return s.remove(name)
+}
+
+func (s *State) remove(name string) (removed bool) {
 	before := len(s.self.Targets)
 	s.self.Targets = slices.DeleteFunc(slices.Clone(s.self.Targets), func(t mesh.Target) bool { return t.Name == name })
 	if len(s.self.Targets) == before {
@@ -136,6 +183,21 @@
 	return true
 }
 
+// Expire removes the targets of this host that have been silent for too long
+// and returns their names. What was last heard of a target is kept for longer,
+// so that a late report of it is recognized.
+func (s *State) Expire(now time.Time) (names []string) {
+	for name, r := range s.reports {
+		if !r.ended && now.Sub(r.at) > reportAge && s.remove(name) {
+			names = append(names, name)
+		}
+		if now.Sub(r.at) > reportMemory {
+			delete(s.reports, name)
+		}
+	}
+	return names
+}
+
 // Leave marks this host as draining, so that others send it no more work.
 func (s *State) Leave() {
 	s.self.State = mesh.HostDraining
--- /dev/null
+++ b/internal/mesh/fleet/fleet_test.go
@@ -0,0 +1,165 @@
+package fleet
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+var (
+	start = time.Unix(1e9, 0)
+	own   = mesh.Host{Addr: netip.MustParseAddrPort("10.0.0.1:7000"), Zone: "a", Incarnation: 1}
+)
+
+func other(incarnation mesh.Incarnation, revision uint64, targets ...mesh.Target) (h mesh.Host) {
+	return mesh.Host{Addr: netip.MustParseAddrPort("10.0.0.2:7000"), Zone: "b", Incarnation: incarnation, Revision: revision, Targets: targets}
+}
+
+func target(name string, born mesh.Incarnation) (t mesh.Target) {
+	return mesh.Target{Service: "ledger", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Name: name, Slots: 5, Incarnation: born}
+}
+
+func names(v *View) (all []string) {
+	for _, e := range v.Targets["ledger"] {
+		all = append(all, e.Target.Name)
+	}
+	return all
+}
+
+// TestLateReports guards against a report that arrives late and brings back a
+// target that has ended, or an earlier state of it.
+func TestLateReports(t *testing.T) {
+	type report struct {
+		name     string
+		born     mesh.Incarnation
+		sequence uint64
+		draining bool
+		gone     bool
+		accepted bool
+	}
+	for _, c := range []struct {
+		name    string
+		reports []report
+		want    int
+	}{
+		{"in order", []report{{"i", 1, 1, false, false, true}, {"i", 1, 2, false, false, true}}, 1},
+		{"overtaken", []report{{"i", 1, 2, true, false, true}, {"i", 1, 1, false, false, false}}, 0},
+		{"after the end", []report{{"i", 1, 1, false, false, true}, {"i", 1, 0, false, true, true}, {"i", 1, 2, false, false, false}}, 0},
+		{"end heard first", []report{{"i", 0, 0, false, true, true}, {"i", 0, 2, false, false, false}}, 0},
+		{"started again", []report{{"i", 1, 9, false, false, true}, {"i", 1, 0, false, true, true}, {"i", 2, 1, false, false, true}}, 1},
+		{"earlier start", []report{{"i", 2, 1, false, false, true}, {"i", 1, 9, true, false, false}}, 1},
+		{"replaced at its address", []report{{"i", 1, 5, false, false, true}, {"j", 2, 1, false, false, true}, {"i", 1, 6, false, false, false}}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New(own)
+			for i, r := range c.reports {
+				now := start.Add(time.Duration(i) * time.Second)
+				if r.gone {
+					s.End(now, r.name)
+					continue
+				}
+				a := mesh.Announcement{Target: target(r.name, r.born), Sequence: r.sequence}
+				a.Target.Draining = r.draining
+				if got, _ := s.Report(now, a); got != r.accepted {
+					t.Errorf("report %d: got accepted %v, want %v", i, got, r.accepted)
+				}
+			}
+			if got := len(names(s.View(start))); got != c.want {
+				t.Errorf("got %d targets that take work, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// TestSilentTarget guards against a target that ended without a word and still
+// gets work.
+func TestSilentTarget(t *testing.T) {
+	s := New(own)
+	s.Report(start, mesh.Announcement{Target: target("i", 1), Sequence: 1})
+	if got := s.Expire(start.Add(reportAge)); len(got) != 0 {
+		t.Errorf("got %v ended, want none", got)
+	}
+	if got := s.Expire(start.Add(reportAge + time.Second)); len(got) != 1 {
+		t.Errorf("got %v ended, want one", got)
+	}
+	if got := len(names(s.View(start))); got != 0 {
+		t.Errorf("got %d targets that take work, want 0", got)
+	}
+}
+
+// TestHear guards against an older beat that replaces what a newer one said.
+func TestHear(t *testing.T) {
+	s := New(own)
+	draining := target("i", 1)
+	draining.Draining = true
+	for _, h := range []mesh.Host{other(2, 4, target("i", 1)), other(2, 5, draining), other(2, 4, target("i", 1)), other(1, 9, target("i", 1))} {
+		s.Hear(start, h)
+	}
+	if got := len(names(s.View(start))); got != 0 {
+		t.Errorf("got %d targets that take work, want 0", got)
+	}
+	s.Hear(start, other(3, 1, target("i", 1)))
+	if got := len(names(s.View(start))); got != 1 {
+		t.Errorf("after a restart: got %d targets that take work, want 1", got)
+	}
+}
+
+// TestSilentHost guards against work for a host that died, and against a service
+// that is given up although a silent host may still run it.
+func TestSilentHost(t *testing.T) {
+	s := New(own)
+	s.Hear(start, other(1, 1, target("far", 1)))
+	s.Report(start, mesh.Announcement{Target: target("near", 1), Sequence: 1})
+	later := start.Add(2 * time.Second)
+	if got := names(s.View(later)); len(got) != 1 || got[0] != "near" {
+		t.Errorf("got targets %v, want near", got)
+	}
+	if !s.Forget(later, start) {
+		t.Error("got no change when the host fell silent, want one")
+	}
+	s.End(later, "near")
+	if got := names(s.View(later)); len(got) != 1 || got[0] != "far" {
+		t.Errorf("got targets %v, want far", got)
+	}
+}
+
+// TestOut guards against work for a zone that operators have taken out, and for
+// a host that leaves.
+func TestOut(t *testing.T) {
+	s := New(own)
+	s.Hear(start, other(1, 1, target("far", 1)))
+	s.Report(start, mesh.Announcement{Target: target("near", 1), Sequence: 1})
+	s.TakeOut([]mesh.ZoneName{"b"})
+	if got := names(s.View(start)); len(got) != 1 || got[0] != "near" {
+		t.Errorf("zone out: got targets %v, want near", got)
+	}
+	s.TakeOut(nil)
+	s.Leave()
+	if got := names(s.View(start)); len(got) != 1 || got[0] != "far" {
+		t.Errorf("leaving: got targets %v, want far", got)
+	}
+}
+
+// TestDue guards against beats that are sent too often to silent hosts, or too
+// late to others.
+func TestDue(t *testing.T) {
+	s := New(own)
+	s.Hear(start, other(1, 1))
+	if got := len(s.Due(start, false)); got != 1 {
+		t.Errorf("first: got %d, want 1", got)
+	}
+	if got := len(s.Due(start.Add(100*time.Millisecond), false)); got != 0 {
+		t.Errorf("soon: got %d, want 0", got)
+	}
+	if got := len(s.Due(start.Add(150*time.Millisecond), true)); got != 1 {
+		t.Errorf("urgent: got %d, want 1", got)
+	}
+	if got := len(s.Due(start.Add(1600*time.Millisecond), false)); got != 0 {
+		t.Errorf("silent: got %d, want 0", got)
+	}
+	if got := len(s.Due(start.Add(2200*time.Millisecond), false)); got != 1 {
+		t.Errorf("silent for long: got %d, want 1", got)
+	}
+}
--- a/internal/mesh/policy.go
+++ b/internal/mesh/policy.go
@@ -74,6 +74,10 @@
 	// Refusal is nil after an answer.
 	Refusal *Refusal
 
+	// Reached is true when the node of the target answered, so that what
+	// failed is behind the link.
+	Reached bool
+
 	// Load is the used part of the target's limit, in thousandths. It only
 	// has a meaning after an answer.
 	Load int
--- a/internal/mesh/route/links.go
+++ b/internal/mesh/route/links.go
@@ -171,6 +171,11 @@
 		s.levels[r.Call.Route.Name] = seenLevel{class: r.Level, at: now}
 		s.Load, s.loadAt = r.Load, now
 		s.reached(now)
+	case r.Reached && r.Refusal.Code == header.AnswerLost:
+		s.reached(now)
+	case r.Reached && r.Refusal.Code == header.TargetUnreachable:
+		s.reached(now)
+		s.RetryAt = now.Add(awayTime)
 	case lost(r.Refusal.Code) && s.Failures > 0 && now.Before(s.RetryAt):
 		// The call was under way when the link failed, so it shows the same
 		// failure once more.
