--- a/internal/cmds/attach.go
+++ b/internal/cmds/attach.go
@@ -14,6 +14,11 @@
 	bridge "github.com/quetzalstack/quetzalstack/platform"
 )
 
+// attachedGCPercent makes the collector run more often than the default of 100.
+// The hosts are small, and the heap of a node is a few MB, which is quickly
+// collected.
+const attachedGCPercent = 60
+
 type attachCommand struct {
 	streams
 	file string
@@ -43,7 +48,7 @@
 	if err != nil {
 		return usage(c.err, "%v", err)
 	}
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(attachedGCPercent)
 	store := bridge.NewStore(settings.Store, logs.For(logger, "store"))
 	node, err := agent.New(settings.Node, agent.Platform{
 		Source: store, Registry: store, Dialect: bridge.Dialect{},
--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -104,15 +104,17 @@
 	place := newPlaceDuty(vars, s, member)
 	fetch := newFetchDuty(vars, a.platform.Source, follow, logs.For(l, "fetch"))
 	measures := meter.New(vars)
-	follow.member, follow.quota, follow.gate = member, quotas, gates
+	target := link.NewPool(s.Target)
+	probe := newProbeDuty(vars, s, a.platform.Dialect, target, member, logs.For(l, "probe"))
+	follow.member, follow.quota, follow.gate, follow.probe = member, quotas, gates, probe
 	member.socket, member.quota, member.gate, member.follow, member.fetch = socket, quotas, gates, follow, fetch
 	a.front = &front{
 		settings: s, dialect: a.platform.Dialect,
 		follow: follow, member: member, quota: quotas, place: place, gate: gates, meter: measures,
-		links: newLinks(), target: link.NewPool(s.Target), log: logs.For(l, "front"),
+		links: newLinks(), target: target, log: logs.For(l, "front"),
 	}
 	a.duties = []mesh.Duty{
-		follow, member, quotas, gates, place, fetch, measures,
+		follow, member, quotas, gates, place, fetch, probe, measures,
 		&watchDuty{source: a.platform.Source, follow: follow, log: logs.For(l, "watch")},
 		&joinDuty{registry: a.platform.Registry, self: self, member: member, log: logs.For(l, "join")},
 		&earDuty{socket: socket, member: member, log: logs.For(l, "ear")},
--- a/internal/mesh/agent/follow.go
+++ b/internal/mesh/agent/follow.go
@@ -50,6 +50,7 @@
 	member *memberDuty
 	quota  *quotaDuty
 	gate   *gateDuty
+	probe  *probeDuty
 }
 
 func newFollowDuty(vars *expvar.Map, log logs.Log) (d *followDuty) {
@@ -121,6 +122,7 @@
 	_ = d.member.events.Send(ctx, newOrders{next})
 	_ = d.quota.events.Send(ctx, newOrders{next})
 	_ = d.gate.events.Send(ctx, newOrders{next})
+	d.probe.events.Offer(newOrders{next})
 }
 
 // newOrders tells a duty what is in force from now on.
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -12,6 +12,7 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/rules"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/shed"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
@@ -84,7 +85,7 @@
 	case refusal.Outcome == header.Unknown && !(call.Route.Idempotent && refusal.Code == header.AnswerLost):
 		return false
 	}
-	if call.Attempts == 0 || !f.place.MayRepeat(ctx, call.RunsAt()) {
+	if call.Attempts == 0 || !f.place.MayRepeat(ctx, call) {
 		return false
 	}
 	call.Attempts--
@@ -93,20 +94,23 @@
 
 // attempt sends a call to one target, over a link or on this host.
 func (f *front) attempt(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
-	reached := true
+	result := linkResult{report: mesh.LinkReport{To: to, Call: call, Reached: true, Level: mesh.ClassLow}}
 	if to.Host == f.settings.Peers {
-		answer, refusal = f.serve(ctx, call, to.Target.Name, p)
+		answer, result.opening, refusal = f.serve(ctx, call, to.Target.Name, p)
+		result.told = true
 	} else {
-		answer, reached, refusal = f.carry(ctx, to, call, p)
+		answer, refusal = f.carry(ctx, to, call, p, &result)
 	}
-	report := mesh.LinkReport{To: to, Call: call, Refusal: refusal, Reached: reached, Level: mesh.ClassLow}
-	switch {
-	case refusal == nil:
-		report.Load, report.Level = answer.Load, answer.Level
-	case refusal.Code == header.Overloaded:
-		report.Level = refusal.Level
+	result.report.Refusal = refusal
+	if refusal == nil {
+		result.report.Load = answer.Load
+	}
+	f.place.Report(result)
+	if result.told && call.Organisation == "" {
+		// The target of this host made the call, so what it may take on
+		// depends on the service that it called.
+		f.gate.events.Offer(heardOpening{service: call.RunsAt(), opening: result.opening})
 	}
-	f.place.Report(report)
 	return answer, refusal
 }
 
@@ -129,12 +133,12 @@
 	return p
 }
 
-// carry sends a call to the node of its target. It reports whether that node
-// answered, be it with a refusal.
-func (f *front) carry(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload) (answer *mesh.Answer, reached bool, refusal *mesh.Refusal) {
+// carry sends a call to the node of its target. It notes in result whether that
+// node answered, and what its service has room for.
+func (f *front) carry(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload, result *linkResult) (answer *mesh.Answer, refusal *mesh.Refusal) {
 	seal, err := sealPass(time.Now(), call, to)
 	if err != nil {
-		return nil, true, mesh.NotRun(header.PassInvalid, "%v", err)
+		return nil, mesh.NotRun(header.PassInvalid, "%v", err)
 	}
 	headers := make(mesh.Headers, len(p.Header)+1)
 	for name, values := range p.Header {
@@ -146,10 +150,13 @@
 		Accept: func(_ int, h mesh.Headers) bool { return first(h, header.RequestID) == call.Label },
 	})
 	if err != nil {
-		return nil, false, failed(sent, err, "node of the target")
+		result.report.Reached = false
+		return nil, failed(sent, err, "node of the target")
 	}
-	answer, refusal = f.takeAnswer(response)
-	return answer, true, refusal
+	if opening, err := strconv.Atoi(first(response.Header, openingHeader)); err == nil {
+		result.opening, result.told = shed.Opening(opening)/thousandths, true
+	}
+	return f.takeAnswer(response)
 }
 
 // first returns the first value of a header whose name is canonical.
@@ -178,18 +185,17 @@
 // takeAnswer reads what the node of a target answered.
 func (f *front) takeAnswer(r *link.Response) (answer *mesh.Answer, refusal *mesh.Refusal) {
 	outcome := header.OutcomeValue(first(r.Header, header.Outcome))
-	level := levelIn(r.Header)
 	if outcome == header.Ran {
 		// A load that cannot be read says nothing; zero stands for that.
 		load, _ := strconv.Atoi(first(r.Header, header.Load))
-		return &mesh.Answer{Status: r.Status, Header: r.Header, Body: r.Body, Length: r.Length, Level: level, Load: load}, nil
+		return &mesh.Answer{Status: r.Status, Header: r.Header, Body: r.Body, Length: r.Length, Load: load}, nil
 	}
 	defer r.Body.Close()
 	code := header.RefusalCode(first(r.Header, header.Code))
 	if code == "" || outcome != header.NotRun && outcome != header.Unknown {
 		return nil, mesh.Unknown(header.AnswerLost, "the node of the target answered %d without an outcome", r.Status)
 	}
-	refusal = &mesh.Refusal{Code: code, Outcome: outcome, Message: first(r.Header, reasonHeader), Level: level}
+	refusal = &mesh.Refusal{Code: code, Outcome: outcome, Message: first(r.Header, reasonHeader)}
 	if milliseconds, err := strconv.Atoi(first(r.Header, waitHeader)); err == nil {
 		refusal.RetryAfter = time.Duration(milliseconds) * time.Millisecond
 	}
@@ -204,21 +210,18 @@
 	waitHeader = header.Prefix + "Wait"
 )
 
-// levelIn returns the level in an answer; one without a level accepts all.
-func levelIn(h mesh.Headers) (level mesh.Class) {
-	number, err := strconv.Atoi(first(h, header.Level))
-	if err != nil || number < 0 || number >= mesh.ClassCount {
-		return mesh.ClassLow
-	}
-	return mesh.Class(number)
-}
+// openingHeader is what a service has room for, on each answer between nodes,
+// in thousandths of a class.
+const (
+	openingHeader = header.Prefix + "Opening"
+	thousandths   = 1000
+)
 
 // refuseLink writes a refusal to another node.
 func refuseLink(h http.Header, label string, r *mesh.Refusal) {
 	h.Set(header.RequestID, label)
 	h.Set(header.Outcome, string(r.Outcome))
 	h.Set(header.Code, string(r.Code))
-	h.Set(header.Level, strconv.Itoa(int(r.Level)))
 	h.Set(reasonHeader, r.Message)
 	h.Set(waitHeader, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 }
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -11,6 +11,7 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/gate"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/shed"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
@@ -37,7 +38,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
-	answer, refusal := f.serve(ctx, call, target, newPayload(r, body))
+	answer, opening, refusal := f.serve(ctx, call, target, newPayload(r, body))
+	c.Response().Header().Set(openingHeader, strconv.Itoa(int(opening*thousandths)))
 	if refusal != nil {
 		refuseLink(c.Response().Header(), call.Label, refusal)
 		return c.NoContent(http.StatusServiceUnavailable)
@@ -45,22 +47,16 @@
 	h := c.Response().Header()
 	h.Set(header.RequestID, call.Label)
 	h.Set(header.Outcome, string(header.Ran))
-	h.Set(header.Level, strconv.Itoa(int(answer.Level)))
 	h.Set(header.Load, strconv.Itoa(answer.Load))
 	return f.write(c, answer)
 }
 
-// serve runs a call at the target of this host.
-func (f *front) serve(ctx context.Context, call *mesh.Call, target string, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
+// serve runs a call at the target of this host. It returns what the service has
+// room for.
+func (f *front) serve(ctx context.Context, call *mesh.Call, target string, p *payload) (answer *mesh.Answer, opening shed.Opening, refusal *mesh.Refusal) {
 	in := f.gate.Enter(ctx, call, target)
 	if in.refusal != nil {
-		refusal = in.refusal
-		if refusal.Code == header.Overloaded {
-			copied := *refusal
-			copied.Level = in.level
-			refusal = &copied
-		}
-		return nil, refusal
+		return nil, in.opening, in.refusal
 	}
 	started := time.Now()
 	answer, refusal = f.send(ctx, in, call, p)
@@ -73,11 +69,11 @@
 		// that did not run.
 		finished.NotRun = !finished.Overloaded && !finished.Unreachable && !finished.TimedOut
 		f.gate.Leave(finished)
-		return nil, refusal
+		return nil, in.opening, refusal
 	}
-	answer.Level, answer.Load = in.level, in.load
+	answer.Load = in.load
 	f.gate.Leave(finished)
-	return answer, nil
+	return answer, in.opening, nil
 }
 
 // send sends a call to the target and judges its answer.
--- a/internal/mesh/dialect.go
+++ b/internal/mesh/dialect.go
@@ -33,6 +33,18 @@
 	OtherTarget bool
 }
 
+// TargetStatus is what a target's answer to a status check says about it.
+type TargetStatus struct {
+	// Healthy is true when the target takes work.
+	Healthy bool
+
+	// Name is the target's own id.
+	Name string
+
+	// ColdLeft is how much longer the target is cold.
+	ColdLeft time.Duration
+}
+
 // Dialect is the way in which callers and targets write headers. Everything
 // else about a request is the same for all of them.
 type Dialect interface {
@@ -47,6 +59,10 @@
 	// Judge reads the status and headers of a target's answer.
 	Judge(status int, h Headers) (v Verdict)
 
+	// Status reads the status and headers of a target's answer to a status
+	// check.
+	Status(status int, h Headers) (s TargetStatus)
+
 	// Refuse sets the headers of a refusal and returns its status. A status
 	// that promises that the request did not run is used only for a refusal
 	// with the outcome NotRun.
--- a/internal/mesh/orders.go
+++ b/internal/mesh/orders.go
@@ -29,6 +29,10 @@
 	// Connections is how many connections one target accepts, at least 1.
 	Connections int
 
+	// StatusPath is where a target answers status checks; empty where it does
+	// not.
+	StatusPath string
+
 	// ColdTime is how long a target is cold after its start.
 	ColdTime time.Duration
 
