--- a/internal/mesh/agent/gate.go
+++ b/internal/mesh/agent/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -26,7 +27,7 @@
 	targetDelay = 20 * time.Millisecond
 
 	// lateWait is the wait from which on a request at the gate shows overload.
-	lateWait = 40 * time.Millisecond
+	lateWait = 150 * time.Millisecond
 
 	// slotsUsed is the part of the announced slots that is used. New
 	// connections and status checks hold slots too, and a full target may
@@ -114,9 +115,11 @@
 	opening shed.Opening
 }
 
-// heardOpening tells what a service that the target calls has room for.
+// heardOpening tells what a service that the target calls has room for at one
+// of its hosts.
 type heardOpening struct {
 	service mesh.ServiceName
+	host    netip.AddrPort
 	opening shed.Opening
 }
 
@@ -193,7 +196,7 @@
 		d.step(now, gate.Gone{Ticket: e.ticket})
 		delete(d.waiting, e.ticket)
 	case heardOpening:
-		d.overload.Hear(now, e.service, e.opening)
+		d.overload.Hear(now, e.service, e.host, e.opening)
 	case targetReported:
 		d.report(now, e.target)
 	case targetGone:
@@ -303,6 +306,9 @@
 	delete(d.waiting, ticket)
 	late := now.Sub(w.since) > lateWait
 	switch {
+	case d.gate.Cold():
+		// A cold target refuses because of its rate, which other targets
+		// make good.
 	case answer.refusal == nil:
 		d.overload.Observe(now, w.class, late)
 	case answer.refusal.Code == header.Overloaded, answer.refusal.Code == header.DeadlineExceeded && late:
--- a/internal/mesh/agent/place.go
+++ b/internal/mesh/agent/place.go
@@ -148,7 +148,7 @@
 	case linkResult:
 		d.picker.Report(now, e.report)
 		if e.told {
-			d.openings.Hear(now, e.report.Call.RunsAt(), e.opening)
+			d.openings.Hear(now, e.report.Call.RunsAt(), e.report.To.Host, e.opening)
 		}
 	}
 }
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -109,7 +109,7 @@
 	if result.told && call.Organisation == "" {
 		// The target of this host made the call, so what it may take on
 		// depends on the service that it called.
-		f.gate.events.Offer(heardOpening{service: call.RunsAt(), opening: result.opening})
+		f.gate.events.Offer(heardOpening{service: call.RunsAt(), host: to.Host, opening: result.opening})
 	}
 	return answer, refusal
 }
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -21,6 +21,10 @@
 	// spread, so that they do not come back at one moment.
 	retrySpread = 8
 
+	// fullLoad is the load of a target that takes nothing more at the moment,
+	// in thousandths.
+	fullLoad = 2000
+
 	// leastSweep is the shortest time between two searches of the queue for
 	// requests that ran out of time.
 	leastSweep = 5 * time.Millisecond
@@ -480,14 +484,21 @@
 // Level returns the least important class that the gate accepts now.
 func (g *Gate) Level(now time.Time) (class mesh.Class) { return g.level.at(now) }
 
-// Load returns the used part of the limit, in thousandths.
+// Load returns the used part of the limit, in thousandths. A cold target that
+// has used its rate is full whatever its limit is.
 func (g *Gate) Load() (load int) {
+	if !g.pace.ready(g.stepped) {
+		return fullLoad
+	}
 	return 1000 * (len(g.running) + g.queue.Len()) / g.limiter.Limit()
 }
 
 // Limit returns how many requests may run now.
 func (g *Gate) Limit() (n int) { return g.limiter.Limit() }
 
+// Cold reports whether the target is held to its cold rate.
+func (g *Gate) Cold() bool { return g.pace.active(g.stepped) }
+
 // InFlight returns how many requests run.
 func (g *Gate) InFlight() (n int) { return len(g.running) }
 
--- a/internal/mesh/route/route.go
+++ b/internal/mesh/route/route.go
@@ -18,6 +18,12 @@
 	probeShare    = 32
 	probeInterval = 200 * time.Millisecond
 
+	// spillLoad is the load from which on calls leave their zone, and
+	// spillMargin by how much less the other target must be loaded, both in
+	// thousandths of the limit. A target slows down when it is nearly full.
+	spillLoad   = 700
+	spillMargin = 200
+
 	// growthDraws is how often a draw of a target is repeated that lands on
 	// one whose share still grows.
 	growthDraws = 8
@@ -77,11 +83,11 @@
 		c.due.state.probeAt = now
 		return c.due.Endpoint, nil
 	case len(c.near)+len(c.far) > 0:
-		return p.lessLoaded(now, p.side(now, c)), nil
+		return p.spill(now, c, p.lessLoaded(now, p.side(now, c))).Endpoint, nil
 	case len(c.refusing) > 0:
 		return p.probe(now, call, c)
 	case len(c.tried) > 0:
-		return p.lessLoaded(now, c.tried), nil
+		return p.lessLoaded(now, c.tried).Endpoint, nil
 	default:
 		return mesh.Endpoint{}, mesh.NotRun(header.NoTarget, "no target of service %q takes work now", call.RunsAt())
 	}
@@ -145,14 +151,26 @@
 	return part
 }
 
+// spill returns a target of another zone in place of a busy one of the own zone
+// when that has clearly more room.
+func (p *NearTwo) spill(now time.Time, c candidates, chosen candidate) (better candidate) {
+	if len(c.far) == 0 || chosen.state.load(now) < spillLoad {
+		return chosen
+	}
+	if other := p.lessLoaded(now, c.far); other.state.load(now)+spillMargin < chosen.state.load(now) {
+		return other
+	}
+	return chosen
+}
+
 // lessLoaded returns the less loaded of two draws.
-func (p *NearTwo) lessLoaded(now time.Time, side []candidate) (chosen mesh.Endpoint) {
+func (p *NearTwo) lessLoaded(now time.Time, side []candidate) (chosen candidate) {
 	most := mostGrown(now, side)
 	a, b := p.draw(now, side, most), p.draw(now, side, most)
 	if b.state.load(now) < a.state.load(now) {
-		return b.Endpoint
+		return b
 	}
-	return a.Endpoint
+	return a
 }
 
 // draw returns a random target, each with a chance in proportion to how far
@@ -172,7 +190,7 @@
 	key := routeKey{service: call.RunsAt(), name: call.Route.Name}
 	if now.Sub(p.probed[key]) >= probeInterval || p.random.IntN(probeShare) == 0 {
 		p.probed[key] = now
-		return p.lessLoaded(now, c.refusing), nil
+		return p.lessLoaded(now, c.refusing).Endpoint, nil
 	}
 	refusal = mesh.NotRun(header.Overloaded, "service %q accepts no requests of class %v now", call.RunsAt(), call.Class)
 	refusal.Level = c.level
--- a/internal/mesh/shed/shed.go
+++ b/internal/mesh/shed/shed.go
@@ -4,6 +4,7 @@
 package shed
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
@@ -46,6 +47,9 @@
 	// newsLife is how long an opening holds without news. It grows afterwards,
 	// since a class that is shut brings no news itself.
 	newsLife = 500 * time.Millisecond
+
+	// forgetNews is after which time without news a host no longer counts.
+	forgetNews = 2 * time.Second
 )
 
 // Meter measures the overload of one service at one target.
@@ -58,7 +62,7 @@
 	calm int
 
 	// deeper holds the openings of the services that the target calls.
-	deeper map[mesh.ServiceName]news
+	deeper map[mesh.ServiceName]hosts
 }
 
 // news is an opening and when it was heard.
@@ -76,9 +80,38 @@
 	return min(Full, n.opening+quickRise*Opening(late/interval))
 }
 
+// hosts holds what the hosts of one service have said.
+type hosts map[netip.AddrPort]news
+
+// now returns the mean opening of the hosts. Calls that one of them has no room
+// for go to the others.
+func (h hosts) now(now time.Time) (o Opening) {
+	for addr, n := range h {
+		if now.Sub(n.at) > forgetNews {
+			delete(h, addr)
+			continue
+		}
+		o += n.now(now)
+	}
+	if len(h) == 0 {
+		return Full
+	}
+	return o / Opening(len(h))
+}
+
+// hear takes in what a host says.
+func hear(now time.Time, services map[mesh.ServiceName]hosts, service mesh.ServiceName, host netip.AddrPort, o Opening) {
+	h := services[service]
+	if h == nil {
+		h = make(hosts)
+		services[service] = h
+	}
+	h[host] = news{opening: o, at: now}
+}
+
 // NewMeter returns the meter of a service that is not overloaded.
 func NewMeter() (m *Meter) {
-	return &Meter{opening: Full, deeper: make(map[mesh.ServiceName]news)}
+	return &Meter{opening: Full, deeper: make(map[mesh.ServiceName]hosts)}
 }
 
 // Observe takes in one request: bad is true when it was refused for want of
@@ -131,41 +164,36 @@
 	return 0
 }
 
-// Hear takes in the opening of a service that the target called.
-func (m *Meter) Hear(now time.Time, service mesh.ServiceName, o Opening) {
-	m.deeper[service] = news{opening: o, at: now}
+// Hear takes in what a host of a service that the target called has room for.
+func (m *Meter) Hear(now time.Time, service mesh.ServiceName, host netip.AddrPort, o Opening) {
+	hear(now, m.deeper, service, host, o)
 }
 
 // Opening returns what the service and those behind it have room for.
 func (m *Meter) Opening(now time.Time) (o Opening) {
 	m.move(now)
 	o = m.opening
-	for service, n := range m.deeper {
-		d := n.now(now)
-		if d == Full {
-			delete(m.deeper, service)
-		}
-		o = min(o, d)
+	for _, h := range m.deeper {
+		o = min(o, h.now(now))
 	}
 	return o
 }
 
 // Book holds the openings that one entry has heard of.
 type Book struct {
-	services map[mesh.ServiceName]news
+	services map[mesh.ServiceName]hosts
 }
 
 // NewBook returns a book that admits everything.
-func NewBook() (b *Book) { return &Book{services: make(map[mesh.ServiceName]news)} }
+func NewBook() (b *Book) { return &Book{services: make(map[mesh.ServiceName]hosts)} }
 
-// Hear takes in the opening of a service.
-func (b *Book) Hear(now time.Time, service mesh.ServiceName, o Opening) {
-	b.services[service] = news{opening: o, at: now}
+// Hear takes in what a host of a service has room for.
+func (b *Book) Hear(now time.Time, service mesh.ServiceName, host netip.AddrPort, o Opening) {
+	hear(now, b.services, service, host, o)
 }
 
 // Admit reports whether a request of the class goes on to the service. Draw is
 // a number from 0 to below 1.
 func (b *Book) Admit(now time.Time, service mesh.ServiceName, class mesh.Class, draw float64) (admitted bool) {
-	n, found := b.services[service]
-	return !found || class == mesh.ClassCritical || draw < float64(n.now(now)-Opening(class)+1)
+	return class == mesh.ClassCritical || draw < float64(b.services[service].now(now)-Opening(class)+1)
 }
--- a/internal/mesh/shed/shed_test.go
+++ b/internal/mesh/shed/shed_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 )
 
+// here is the only host of each service.
+var here = netip.MustParseAddrPort("10.0.0.1:7000")
+
 // kind is a kind of request. Each makes calls to the service at the bottom, or
 // goes there itself.
 type kind struct {
@@ -65,9 +69,9 @@
 				whole[k]++
 			}
 		}
-		middle.Hear(now, "bottom", bottom.Opening(now))
-		book.Hear(now, "bottom", bottom.Opening(now))
-		book.Hear(now, "middle", middle.Opening(now))
+		middle.Hear(now, "bottom", here, bottom.Opening(now))
+		book.Hear(now, "bottom", here, bottom.Opening(now))
+		book.Hear(now, "middle", here, middle.Opening(now))
 	}
 	for k := range kinds {
 		served = append(served, float64(whole[k])/float64(asked[k]))
@@ -103,7 +107,7 @@
 // TestOpens guards against a class that stays shut after the overload.
 func TestOpens(t *testing.T) {
 	b, now := NewBook(), time.Unix(1e9, 0)
-	b.Hear(now, "a", 0)
+	b.Hear(now, "a", here, 0)
 	if b.Admit(now, "a", mesh.ClassHigh, 0) {
 		t.Error("shut service: got a request admitted, want none")
 	}
