--- a/internal/mesh/agent/gate.go
+++ b/internal/mesh/agent/gate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/rules"
-	"github.com/quetzalstack/quetzalstack/internal/mesh/shed"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
@@ -26,9 +24,6 @@
 	// targetDelay is the wait above which the target counts as overloaded.
 	targetDelay = 20 * time.Millisecond
 
-	// lateWait is the wait from which on a request at the gate shows overload.
-	lateWait = 150 * time.Millisecond
-
 	// slotsUsed is the part of the announced slots that is used. New
 	// connections and status checks hold slots too, and a full target may
 	// never answer.
@@ -52,23 +47,12 @@
 	// out is true while operators have taken the zone out.
 	out bool
 
-	// waiting holds the requests that the gate has not decided on.
-	waiting map[gate.Ticket]waiter
+	// waiting holds the reply rings of queued requests.
+	waiting map[gate.Ticket]ring.Reply
 	tickets atomic.Uint64
 
-	// shown and running are the opening, in thousandths, and the requests at
-	// the target, for the metrics.
-	shown, running atomic.Int64
-
-	// overload measures the service of the target and those that it calls.
-	overload *shed.Meter
-}
-
-// waiter is a request at the gate.
-type waiter struct {
-	reply ring.Reply
-	class mesh.Class
-	since time.Time
+	// running is the number of requests at the target, for the metrics.
+	running atomic.Int64
 }
 
 func newGateDuty(vars *expvar.Map, zone mesh.ZoneName, log logs.Log) (d *gateDuty) {
@@ -77,10 +61,8 @@
 		events: ring.New(vars, "gate", gateRing), zone: zone, log: log, limiter: limiter,
 		gate: gate.New(limiter, gate.WithQueue(gate.NewFair(queueLength, targetDelay)), gate.WithTargetDelay(targetDelay)),
 
-		waiting:  make(map[gate.Ticket]waiter),
-		overload: shed.NewMeter(),
+		waiting: make(map[gate.Ticket]ring.Reply),
 	}
-	vars.Set("opening", expvar.Func(func() any { return d.shown.Load() }))
 	vars.Set("target-running", expvar.Func(func() any { return d.running.Load() }))
 	return d
 }
@@ -110,22 +92,8 @@
 	target  *mesh.Target
 	ticket  gate.Ticket
 	load    int
-
-	// opening is what the target, and the services behind it, have room for.
-	opening shed.Opening
 }
 
-// heardOpening tells what a service that the target calls has room for at one
-// of its hosts.
-type heardOpening struct {
-	service mesh.ServiceName
-	host    netip.AddrPort
-	opening shed.Opening
-}
-
-// EventName implements mesh.Event.
-func (heardOpening) EventName() string { return "heard-opening" }
-
 // EventName implements mesh.Event.
 func (targetReported) EventName() string { return "target-reported" }
 
@@ -195,8 +163,6 @@
 	case gone:
 		d.step(now, gate.Gone{Ticket: e.ticket})
 		delete(d.waiting, e.ticket)
-	case heardOpening:
-		d.overload.Hear(now, e.service, e.host, e.opening)
 	case targetReported:
 		d.report(now, e.target)
 	case targetGone:
@@ -217,7 +183,7 @@
 	case current.Service != e.call.RunsAt() || e.target != "" && e.target != current.Name:
 		e.reply.Answer(entered{refusal: mesh.NotRun(header.TargetDraining, "target %q has made room for %q", e.target, current.Name)})
 	default:
-		d.waiting[e.ticket] = waiter{reply: e.reply, class: e.call.Class, since: now}
+		d.waiting[e.ticket] = e.reply
 		d.step(now, gate.Arrival{Ticket: e.ticket, Call: e.call})
 	}
 }
@@ -291,30 +257,15 @@
 	for _, a := range d.gate.Step(now, e) {
 		switch a := a.(type) {
 		case gate.Start:
-			d.answer(now, a.Ticket, entered{target: d.current.Load(), ticket: a.Ticket, load: d.gate.Load()})
+			d.answer(a.Ticket, entered{target: d.current.Load(), ticket: a.Ticket, load: d.gate.Load()})
 		case gate.Refuse:
-			d.answer(now, a.Ticket, entered{refusal: a.Refusal, load: d.gate.Load()})
+			d.answer(a.Ticket, entered{refusal: a.Refusal, load: d.gate.Load()})
 		}
 	}
 	d.running.Store(int64(d.gate.InFlight()))
 }
 
-// answer tells a request what the gate decided. One that waited, or was refused
-// for want of room, shows overload.
-func (d *gateDuty) answer(now time.Time, ticket gate.Ticket, answer entered) {
-	w := d.waiting[ticket]
+func (d *gateDuty) answer(ticket gate.Ticket, answer entered) {
+	d.waiting[ticket].Answer(answer)
 	delete(d.waiting, ticket)
-	late := now.Sub(w.since) > lateWait
-	switch {
-	case d.gate.Cold():
-		// A cold target refuses because of its rate, which other targets
-		// make good.
-	case answer.refusal == nil:
-		d.overload.Observe(now, w.class, late)
-	case answer.refusal.Code == header.Overloaded, answer.refusal.Code == header.DeadlineExceeded && late:
-		d.overload.Observe(now, w.class, true)
-	}
-	answer.opening = d.overload.Opening(now)
-	d.shown.Store(int64(answer.opening * 1000))
-	w.reply.Answer(answer)
 }
--- a/internal/mesh/agent/place.go
+++ b/internal/mesh/agent/place.go
@@ -11,18 +11,10 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh/retry"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/route"
-	"github.com/quetzalstack/quetzalstack/internal/mesh/shed"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
-const (
-	placeRing = 4096
-
-	// shedWait is the least time after which a request that was turned away
-	// comes back. An overload that shuts a class lasts about a second; the
-	// wait is spread, so that the requests do not return together.
-	shedWait = 500 * time.Millisecond
-)
+const placeRing = 4096
 
 // placeDuty owns the links of this node: it chooses the targets of calls and
 // keeps the budget of repeats. Full ring: the request is refused; reports of
@@ -31,11 +23,8 @@
 	events  *ring.Ring
 	picker  mesh.Picker
 	budgets *retry.Budgets
-
-	// openings are what the services have room for.
-	openings *shed.Book
-	zone     mesh.ZoneName
-	member   *memberDuty
+	zone    mesh.ZoneName
+	member  *memberDuty
 }
 
 func newPlaceDuty(vars *expvar.Map, s Settings, member *memberDuty) (d *placeDuty) {
@@ -43,10 +32,8 @@
 		events:  ring.New(vars, "place", placeRing),
 		picker:  route.NewNearTwo(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budgets: retry.NewBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow),
-
-		openings: shed.NewBook(),
-		zone:     s.Zone,
-		member:   member,
+		zone:    s.Zone,
+		member:  member,
 	}
 }
 
@@ -64,14 +51,7 @@
 	refusal *mesh.Refusal
 }
 
-// linkResult says how an attempt went.
-type linkResult struct {
-	report mesh.LinkReport
-
-	// opening is what the service has room for, when told is true.
-	opening shed.Opening
-	told    bool
-}
+type linkResult struct{ report mesh.LinkReport }
 
 type mayRepeat struct {
 	call  *mesh.Call
@@ -125,7 +105,7 @@
 }
 
 // Report takes in how a call went.
-func (d *placeDuty) Report(r linkResult) { d.events.Offer(r) }
+func (d *placeDuty) Report(r mesh.LinkReport) { d.events.Offer(linkResult{report: r}) }
 
 // Run implements mesh.Duty.
 func (d *placeDuty) Run(ctx context.Context) (err error) {
@@ -147,25 +127,16 @@
 		e.reply.Answer(repeatAnswer{allowed: d.budgets.Repeat(now, e.call)})
 	case linkResult:
 		d.picker.Report(now, e.report)
-		if e.told {
-			d.openings.Hear(now, e.report.Call.RunsAt(), e.report.To.Host, e.opening)
-		}
 	}
 }
 
-// pick chooses a target, unless the request is turned away because a service on
-// its way is overloaded.
+// pick chooses a target.
 func (d *placeDuty) pick(now time.Time, e pick) (p picked) {
-	view, service := d.member.View(), e.call.RunsAt()
+	view := d.member.View()
 	d.budgets.SetHosts(view.Known)
 	if len(e.tried) == 0 {
 		d.budgets.Called(now, e.call)
-		if !d.openings.Admit(now, service, e.call.Class, rand.Float64()) {
-			p.refusal = mesh.NotRun(header.Overloaded, "service %q, or one behind it, has no room for requests of class %v", service, e.call.Class)
-			p.refusal.RetryAfter = shedWait + rand.N(shedWait)
-			return p
-		}
 	}
-	p.to, p.refusal = d.picker.Pick(now, e.call, d.zone, view.Targets[service], e.tried)
+	p.to, p.refusal = d.picker.Pick(now, e.call, d.zone, view.Targets[e.call.RunsAt()], e.tried)
 	return p
 }
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -12,7 +12,6 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/rules"
-	"github.com/quetzalstack/quetzalstack/internal/mesh/shed"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
@@ -94,23 +93,17 @@
 
 // attempt sends a call to one target, over a link or on this host.
 func (f *front) attempt(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
-	result := linkResult{report: mesh.LinkReport{To: to, Call: call, Reached: true, Level: mesh.ClassLow}}
+	report := mesh.LinkReport{To: to, Call: call, Reached: true, Level: mesh.ClassLow}
 	if to.Host == f.settings.Peers {
-		answer, result.opening, refusal = f.serve(ctx, call, to.Target.Name, p)
-		result.told = true
+		answer, refusal = f.serve(ctx, call, to.Target.Name, p)
 	} else {
-		answer, refusal = f.carry(ctx, to, call, p, &result)
+		answer, report.Reached, refusal = f.carry(ctx, to, call, p)
 	}
-	result.report.Refusal = refusal
+	report.Refusal = refusal
 	if refusal == nil {
-		result.report.Load = answer.Load
-	}
-	f.place.Report(result)
-	if result.told && call.Organisation == "" {
-		// The target of this host made the call, so what it may take on
-		// depends on the service that it called.
-		f.gate.events.Offer(heardOpening{service: call.RunsAt(), host: to.Host, opening: result.opening})
+		report.Load = answer.Load
 	}
+	f.place.Report(report)
 	return answer, refusal
 }
 
@@ -133,12 +126,12 @@
 	return p
 }
 
-// carry sends a call to the node of its target. It notes in result whether that
-// node answered, and what its service has room for.
-func (f *front) carry(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload, result *linkResult) (answer *mesh.Answer, refusal *mesh.Refusal) {
+// carry sends a call to the node of its target. It reports whether that node
+// answered, be it with a refusal.
+func (f *front) carry(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload) (answer *mesh.Answer, reached bool, refusal *mesh.Refusal) {
 	seal, err := sealPass(time.Now(), call, to)
 	if err != nil {
-		return nil, mesh.NotRun(header.PassInvalid, "%v", err)
+		return nil, true, mesh.NotRun(header.PassInvalid, "%v", err)
 	}
 	headers := make(mesh.Headers, len(p.Header)+1)
 	for name, values := range p.Header {
@@ -150,13 +143,10 @@
 		Accept: func(_ int, h mesh.Headers) bool { return first(h, header.RequestID) == call.Label },
 	})
 	if err != nil {
-		result.report.Reached = false
-		return nil, failed(sent, err, "node of the target")
-	}
-	if opening, err := strconv.Atoi(first(response.Header, openingHeader)); err == nil {
-		result.opening, result.told = shed.Opening(opening)/thousandths, true
+		return nil, false, failed(sent, err, "node of the target")
 	}
-	return f.takeAnswer(response)
+	answer, refusal = f.takeAnswer(response)
+	return answer, true, refusal
 }
 
 // first returns the first value of a header whose name is canonical.
@@ -210,13 +200,6 @@
 	waitHeader = header.Prefix + "Wait"
 )
 
-// openingHeader is what a service has room for, on each answer between nodes,
-// in thousandths of a class.
-const (
-	openingHeader = header.Prefix + "Opening"
-	thousandths   = 1000
-)
-
 // refuseLink writes a refusal to another node.
 func refuseLink(h http.Header, label string, r *mesh.Refusal) {
 	h.Set(header.RequestID, label)
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -11,7 +11,6 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/gate"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
-	"github.com/quetzalstack/quetzalstack/internal/mesh/shed"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
@@ -38,8 +37,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
-	answer, opening, refusal := f.serve(ctx, call, target, newPayload(r, body))
-	c.Response().Header().Set(openingHeader, strconv.Itoa(int(opening*thousandths)))
+	answer, refusal := f.serve(ctx, call, target, newPayload(r, body))
 	if refusal != nil {
 		refuseLink(c.Response().Header(), call.Label, refusal)
 		return c.NoContent(http.StatusServiceUnavailable)
@@ -51,12 +49,11 @@
 	return f.write(c, answer)
 }
 
-// serve runs a call at the target of this host. It returns what the service has
-// room for.
-func (f *front) serve(ctx context.Context, call *mesh.Call, target string, p *payload) (answer *mesh.Answer, opening shed.Opening, refusal *mesh.Refusal) {
+// serve runs a call at the target of this host.
+func (f *front) serve(ctx context.Context, call *mesh.Call, target string, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
 	in := f.gate.Enter(ctx, call, target)
 	if in.refusal != nil {
-		return nil, in.opening, in.refusal
+		return nil, in.refusal
 	}
 	started := time.Now()
 	answer, refusal = f.send(ctx, in, call, p)
@@ -69,11 +66,11 @@
 		// that did not run.
 		finished.NotRun = !finished.Overloaded && !finished.Unreachable && !finished.TimedOut
 		f.gate.Leave(finished)
-		return nil, in.opening, refusal
+		return nil, refusal
 	}
 	answer.Load = in.load
 	f.gate.Leave(finished)
-	return answer, in.opening, nil
+	return answer, nil
 }
 
 // send sends a call to the target and judges its answer.
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -496,9 +496,6 @@
 // Limit returns how many requests may run now.
 func (g *Gate) Limit() (n int) { return g.limiter.Limit() }
 
-// Cold reports whether the target is held to its cold rate.
-func (g *Gate) Cold() bool { return g.pace.active(g.stepped) }
-
 // InFlight returns how many requests run.
 func (g *Gate) InFlight() (n int) { return len(g.running) }
 
