--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -100,7 +100,7 @@
 	follow := newFollowDuty(vars, logs.For(l, "follow"))
 	member := newMemberDuty(vars, self, logs.For(l, "member"))
 	quotas := newQuotaDuty(vars)
-	gates := newGateDuty(vars, s.Zone, logs.For(l, "gate"))
+	gates := newGateDuty(vars, s, logs.For(l, "gate"))
 	place := newPlaceDuty(vars, s, member)
 	fetch := newFetchDuty(vars, a.platform.Source, follow, logs.For(l, "fetch"))
 	measures := meter.New(vars)
--- a/internal/mesh/agent/gate.go
+++ b/internal/mesh/agent/gate.go
@@ -37,6 +37,9 @@
 	zone   mesh.ZoneName
 	log    logs.Log
 
+	// coldFactor is the part of its cold rate at which a target is used.
+	coldFactor float64
+
 	// current is the target that takes work, for handlers to send to; nil
 	// while there is none.
 	current atomic.Pointer[mesh.Target]
@@ -55,10 +58,10 @@
 	running atomic.Int64
 }
 
-func newGateDuty(vars *expvar.Map, zone mesh.ZoneName, log logs.Log) (d *gateDuty) {
+func newGateDuty(vars *expvar.Map, st Settings, log logs.Log) (d *gateDuty) {
 	limiter := gate.NewFixed(1)
 	d = &gateDuty{
-		events: ring.New(vars, "gate", gateRing), zone: zone, log: log, limiter: limiter,
+		events: ring.New(vars, "gate", gateRing), zone: st.Zone, coldFactor: st.ColdFactor, log: log, limiter: limiter,
 		gate: gate.New(limiter, gate.WithQueue(gate.NewFair(queueLength, targetDelay)), gate.WithTargetDelay(targetDelay)),
 
 		waiting: make(map[gate.Ticket]ring.Reply),
@@ -184,8 +187,21 @@
 		e.reply.Answer(entered{refusal: mesh.NotRun(header.TargetDraining, "target %q has made room for %q", e.target, current.Name)})
 	default:
 		d.waiting[e.ticket] = e.reply
-		d.step(now, gate.Arrival{Ticket: e.ticket, Call: e.call})
+		d.step(now, gate.Arrival{Ticket: e.ticket, Call: d.ranked(e.call)})
+	}
+}
+
+// ranked returns the call with the class that it has at the gate. A warm target
+// runs the calls of other targets first, since they belong to work in progress.
+// A cold one bears so few that whole requests of callers come first: a chain
+// that needs several of its turns hardly ever ends in time.
+func (d *gateDuty) ranked(call *mesh.Call) (c *mesh.Call) {
+	if call.Organisation != "" || !d.gate.Cold() {
+		return call
 	}
+	ranked := *call
+	ranked.Class = mesh.ClassNormal
+	return &ranked
 }
 
 // leave takes in the end of a request. A target that accepts no connection or
@@ -194,7 +210,7 @@
 func (d *gateDuty) leave(now time.Time, f gate.Finished) {
 	if current := d.current.Load(); current != nil && d.index != nil && f.Unreachable {
 		service := d.index.Service(current.Service)
-		d.step(now, gate.Chilled{Until: now.Add(service.ColdTime), PerSecond: service.ColdRate})
+		d.step(now, gate.Chilled{Until: now.Add(service.ColdTime), PerSecond: d.coldFactor * service.ColdRate})
 	}
 	d.step(now, f)
 }
@@ -217,7 +233,7 @@
 	if d.index == nil || current == nil {
 		return
 	}
-	d.step(now, gate.Chilled{Until: until, PerSecond: d.index.Service(current.Service).ColdRate})
+	d.step(now, gate.Chilled{Until: until, PerSecond: d.coldFactor * d.index.Service(current.Service).ColdRate})
 }
 
 // admit opens or closes the gate.
--- a/internal/mesh/agent/settings.go
+++ b/internal/mesh/agent/settings.go
@@ -40,6 +40,10 @@
 	// requests that are on their way.
 	DrainTime time.Duration
 
+	// ColdFactor is the part of the announced cold rate at which a cold target
+	// is used, at least 1.
+	ColdFactor float64
+
 	// RetryRatio and RetrySlack bound the repeats to each service over all
 	// hosts: at most the ratio of its requests and the slack in RetryWindow.
 	RetryRatio  float64
--- a/internal/mesh/gate/cold.go
+++ b/internal/mesh/gate/cold.go
@@ -42,6 +42,14 @@
 
 func (p *pace) active(now time.Time) bool { return p.perSecond > 0 && now.Before(p.until) }
 
+// left returns how much longer the target is cold.
+func (p *pace) left(now time.Time) (left time.Duration) {
+	if !p.active(now) {
+		return 0
+	}
+	return p.until.Sub(now)
+}
+
 // ready reports whether one more request may start.
 func (p *pace) ready(now time.Time) bool {
 	if !p.active(now) {
--- /dev/null
+++ b/internal/mesh/gate/cold_test.go
@@ -0,0 +1,60 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// TestColdRate guards against a cold target that gets more requests in a second
+// than it bears, however short they are, and against one that stays slow after
+// its cold start.
+func TestColdRate(t *testing.T) {
+	const perSecond = 45
+	now := time.Unix(1e9, 0)
+	g := New(NewFixed(100))
+	cold := now.Add(3 * time.Second)
+	route := &mesh.Route{Name: "read"}
+	var starts []time.Time
+	for i := range Ticket(6000) {
+		now = now.Add(time.Millisecond)
+		if i%500 == 0 && now.Before(cold) {
+			// A report may repeat what is known.
+			g.Step(now, Chilled{Until: cold, PerSecond: perSecond})
+		}
+		call := &mesh.Call{Route: route, Deadline: now.Add(time.Second)}
+		actions := g.Step(now, Arrival{Ticket: i + 1, Call: call})
+		if at := g.Next(); !at.IsZero() && !at.After(now) {
+			actions = append(actions, g.Step(now, Elapsed{})...)
+		}
+		for _, a := range append([]Action(nil), actions...) {
+			if s, started := a.(Start); started {
+				starts = append(starts, now)
+				g.Step(now, Finished{Ticket: s.Ticket, Latency: time.Millisecond})
+			}
+		}
+	}
+	warm := 0
+	for i, at := range starts {
+		if !at.Before(cold) {
+			warm++
+			continue
+		}
+		n := 0
+		for _, other := range starts[i:] {
+			if other.Sub(at) < time.Second && other.Before(cold) {
+				n++
+			}
+		}
+		if want := perSecond + coldBurst; n > want {
+			t.Fatalf("got %d starts within a second of the cold start, want at most %d", n, want)
+		}
+	}
+	if cold := len(starts) - warm; cold < 2*perSecond {
+		t.Errorf("got %d starts in 3 s of the cold start, want at least %d", cold, 2*perSecond)
+	}
+	if warm < 2000 {
+		t.Errorf("got %d starts in the 3 s afterwards, want at least 2000", warm)
+	}
+}
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -248,7 +248,7 @@
 		return
 	}
 	if !g.canFinish(now, a.Call) {
-		g.refuse(a.Ticket, tooLate())
+		g.refuse(a.Ticket, g.tooLate(now))
 		return
 	}
 	g.standing.arrived++
@@ -269,8 +269,10 @@
 	return left > 0 && left >= g.typical.of(now, call.Route.Name)
 }
 
-func tooLate() (refusal *mesh.Refusal) {
-	return mesh.NotRun(header.DeadlineExceeded, "the remaining time is shorter than the target usually needs")
+func (g *Gate) tooLate(now time.Time) (refusal *mesh.Refusal) {
+	refusal = mesh.NotRun(header.DeadlineExceeded, "the remaining time is shorter than the target usually needs")
+	refusal.RetryAfter = g.pace.left(now)
+	return refusal
 }
 
 // shed refuses a request for want of room.
@@ -278,7 +280,7 @@
 	g.level.refused(now, classOf(w.Call))
 	refusal := mesh.NotRun(header.Overloaded, "the target is overloaded")
 	refusal.Level = g.Level(now)
-	refusal.RetryAfter = g.retryAfter(now, w)
+	refusal.RetryAfter = max(g.retryAfter(now, w), g.pace.left(now))
 	g.refuse(w.Ticket, refusal)
 }
 
@@ -446,7 +448,7 @@
 // since a class without its turn waits in a queue that need not be full.
 func (g *Gate) drop(now time.Time, w mesh.Waiter) {
 	g.level.refused(now, classOf(w.Call))
-	g.refuse(w.Ticket, tooLate())
+	g.refuse(w.Ticket, g.tooLate(now))
 }
 
 func (g *Gate) start(now time.Time) {
@@ -496,6 +498,9 @@
 // Limit returns how many requests may run now.
 func (g *Gate) Limit() (n int) { return g.limiter.Limit() }
 
+// Cold reports whether the target is held to its cold rate.
+func (g *Gate) Cold() bool { return g.pace.active(g.stepped) }
+
 // InFlight returns how many requests run.
 func (g *Gate) InFlight() (n int) { return len(g.running) }
 
