--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -50,6 +50,7 @@
 	commander.Register(&settingsCommand{operator: operator{streams: to}}, "operators")
 	commander.Register(&keyCommand{operator: operator{streams: to}}, "operators")
 	commander.Register(&statusCommand{operator: operator{streams: to}}, "operators")
+	commander.Register(&explainCommand{streams: to}, "operators")
 	commander.Register(&versionCommand{streams: to}, "help")
 	if err := flags.Parse(args[1:]); err != nil {
 		return exitUsage
--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -225,6 +225,22 @@
 	return f.write(c, answer)
 }
 
+// explainAttempt logs an attempt that failed, with what led to its target.
+func (f *front) explainAttempt(call *mesh.Call, to mesh.Endpoint, earlier int, answer *mesh.Answer, refusal *mesh.Refusal) {
+	fields := logs.Fields{
+		"request": call.Label, "service": call.RunsAt(), "host": to.Host.String(), "zone": to.Zone,
+		"target": to.Target.Name, "earlier-attempts": earlier, "left-ms": call.Remaining(time.Now()).Milliseconds(),
+	}
+	switch {
+	case refusal != nil:
+		fields["outcome"], fields["code"], fields["reason"] = refusal.Outcome, refusal.Code, refusal.Message
+		f.log.Decided("attempt failed", fields)
+	case answer.Status >= http.StatusInternalServerError:
+		fields["outcome"], fields["status"] = header.Ran, answer.Status
+		f.log.Decided("the target answered with a failure", fields)
+	}
+}
+
 // explain logs why a request was not answered by a target.
 func (f *front) explain(call *mesh.Call, refusal *mesh.Refusal, latency time.Duration) {
 	fields := logs.Fields{
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -28,6 +28,7 @@
 			return nil, final(refusal, failure)
 		}
 		answer, failure = f.attempt(ctx, to, call, p)
+		f.explainAttempt(call, to, len(tried), answer, failure)
 		if failure == nil {
 			return answer, nil
 		}
--- a/internal/mesh/logs/logs.go
+++ b/internal/mesh/logs/logs.go
@@ -23,6 +23,9 @@
 	FormatJSON Format = "json"
 )
 
+// jsonTime shows milliseconds, since a request often ends within one second.
+const jsonTime = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes to out.
 func New(out io.Writer, format Format) (logger *logrus.Logger, err error) {
 	logger = logrus.New()
@@ -31,7 +34,7 @@
 	case FormatText:
 		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
 	case FormatJSON:
-		logger.SetFormatter(&logrus.JSONFormatter{})
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: jsonTime})
 	default:
 		return nil, fmt.Errorf("log format %q does not exist; use text or json", format)
 	}
