--- a/internal/mesh/agent/pass.go
+++ b/internal/mesh/agent/pass.go
@@ -10,21 +10,27 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 )
 
-// pass describes a call to the node of its target.
+// pass describes a call to the node of its target, without names to save bytes
+// on each request.
 type pass struct {
-	Route        string `cbor:"route"`
-	Service      string `cbor:"service"`
-	Caller       string `cbor:"caller"`
-	Label        string `cbor:"label"`
-	Organisation string `cbor:"organisation"`
-	Class        uint8  `cbor:"class"`
-	Idempotent   bool   `cbor:"idempotent"`
+	_ struct{} `cbor:",toarray"`
+
+	Route        string
+	Service      string
+	Caller       string
+	Label        string
+	Organisation string
+	Class        uint8
+	Idempotent   bool
+
+	// Objective is in microseconds.
+	Objective int64
 
 	// Target is the target that the sender chose.
-	Target string `cbor:"target"`
+	Target string
 
 	// Left is the remaining time in microseconds. The clocks of hosts differ.
-	Left int64 `cbor:"left"`
+	Left int64
 }
 
 // sealPass returns the header value that describes a call.
@@ -32,7 +38,7 @@
 	data, err := cbor.Marshal(pass{
 		Route: call.Route.Name, Service: string(call.RunsAt()), Caller: string(call.Caller), Label: call.Label,
 		Organisation: string(call.Organisation), Class: uint8(call.Class), Idempotent: call.Route.Idempotent,
-		Target: to.Target.Name, Left: passedTime(call.Remaining(now)).Microseconds(),
+		Objective: call.Route.Objective.Microseconds(), Target: to.Target.Name, Left: passedTime(call.Remaining(now)).Microseconds(),
 	})
 	return base64.RawStdEncoding.EncodeToString(data), err
 }
@@ -58,7 +64,10 @@
 		return nil, "", fmt.Errorf("service %q, request %q and class %d describe no call", p.Service, p.Label, p.Class)
 	}
 	return &mesh.Call{
-		Route:        &mesh.Route{Name: p.Route, Service: mesh.ServiceName(p.Service), Idempotent: p.Idempotent},
+		Route: &mesh.Route{
+			Name: p.Route, Service: mesh.ServiceName(p.Service), Idempotent: p.Idempotent,
+			Objective: time.Duration(p.Objective) * time.Microsecond,
+		},
 		Label:        p.Label,
 		Caller:       mesh.ServiceName(p.Caller),
 		Class:        mesh.Class(p.Class),
--- a/internal/mesh/beat/beat.go
+++ b/internal/mesh/beat/beat.go
@@ -33,31 +33,35 @@
 	OutDigest uint64
 }
 
-// message is a beat on the wire. Times are remaining amounts, since the clocks
-// of hosts differ.
+// message is a beat on the wire, without names to save bytes between zones.
+// Times are remaining amounts, since the clocks of hosts differ.
 type message struct {
-	Addr        string             `cbor:"addr"`
-	Zone        string             `cbor:"zone"`
-	Incarnation uint64             `cbor:"incarnation"`
-	Revision    uint64             `cbor:"revision"`
-	State       uint8              `cbor:"state"`
-	Targets     []target           `cbor:"targets"`
-	Usage       map[string][]int64 `cbor:"usage"`
-	AsOf        uint64             `cbor:"as-of"`
-	Rules       uint64             `cbor:"rules"`
-	OutDigest   uint64             `cbor:"out-digest"`
+	_ struct{} `cbor:",toarray"`
+
+	Addr        string
+	Zone        string
+	Incarnation uint64
+	Revision    uint64
+	State       uint8
+	Targets     []target
+	Usage       map[string][]int64
+	AsOf        uint64
+	Rules       uint64
+	OutDigest   uint64
 }
 
 type target struct {
-	Service     string `cbor:"service"`
-	Addr        string `cbor:"addr"`
-	Name        string `cbor:"name"`
-	Slots       int    `cbor:"slots"`
-	Incarnation uint64 `cbor:"incarnation"`
-	Draining    bool   `cbor:"draining"`
+	_ struct{} `cbor:",toarray"`
+
+	Service     string
+	Addr        string
+	Name        string
+	Slots       int
+	Incarnation uint64
+	Draining    bool
 
 	// ColdLeft is in milliseconds.
-	ColdLeft int64 `cbor:"cold-left"`
+	ColdLeft int64
 }
 
 // Encode returns the datagram of a beat.
--- /dev/null
+++ b/internal/mesh/beat/beat_test.go
@@ -0,0 +1,67 @@
+package beat
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/quota"
+)
+
+func sample(now time.Time) (b *Beat) {
+	addr := netip.MustParseAddrPort("10.0.0.1:7000")
+	return &Beat{
+		Host: mesh.Host{Addr: addr, Zone: "a", Incarnation: 7, Revision: 3, State: mesh.HostDraining, Targets: []mesh.Target{{
+			Service: "ledger", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Name: "i", Slots: 5, Incarnation: 9,
+			Draining: true, ColdUntil: now.Add(time.Second),
+		}}},
+		Usage: quota.Report{From: addr, Incarnation: 7, Usage: map[mesh.OrganisationName]quota.Usage{"o": {Offered: 4, Admitted: 2}}},
+		AsOf:  11, Rules: 5, OutDigest: 1 << 63,
+	}
+}
+
+// TestRoundTrip guards against a field that is lost between hosts.
+func TestRoundTrip(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	want := sample(now)
+	data, err := Encode(now, want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(now, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if len(data) > 150 {
+		t.Errorf("got %d bytes, want at most 150: beats go to all hosts", len(data))
+	}
+}
+
+// TestBadDatagrams guards against a datagram that cannot be read and is used in
+// part, or ends the node.
+func TestBadDatagrams(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	data, err := Encode(now, sample(now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := range data {
+		if _, err := Decode(now, data[:cut]); err == nil {
+			t.Errorf("cut to %d bytes: got a beat, want an error", cut)
+		}
+	}
+	for i := range data {
+		for _, flip := range []byte{0x01, 0x80, 0xff} {
+			changed := append([]byte(nil), data...)
+			changed[i] ^= flip
+			if b, err := Decode(now, changed); err == nil && (b.Host.Zone == "" || !b.Host.Addr.IsValid()) {
+				t.Errorf("byte %d: got host %+v, want a zone and an address", i, b.Host)
+			}
+		}
+	}
+}
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -16,6 +16,10 @@
 	// Three lost beats show a dead host before a request of 1 s times out.
 	shortBeat = 300 * time.Millisecond
 
+	// farBeats is the factor on the time between beats to other zones, where
+	// bytes are dear.
+	farBeats = 5.0 / 3
+
 	// beatPerHost stretches the beats of a large fleet, since each host beats
 	// to all others: it keeps a host at 100 beats a second in each direction.
 	beatPerHost = 10 * time.Millisecond
@@ -96,9 +100,13 @@
 // Self returns this node's own host as others should see it.
 func (s *State) Self() (self mesh.Host) { return s.self }
 
-// Interval returns the time between two beats to a host that answers.
-func (s *State) Interval() (d time.Duration) {
-	return max(shortBeat, time.Duration(len(s.hosts))*beatPerHost)
+// interval returns the time between two beats to a host that answers.
+func (s *State) interval(to *host) (d time.Duration) {
+	d = max(shortBeat, time.Duration(len(s.hosts))*beatPerHost)
+	if to.Zone != s.self.Zone {
+		d = time.Duration(farBeats * float64(d))
+	}
+	return d
 }
 
 // Meet adds a host that was listed somewhere. It reports whether it is new.
@@ -215,15 +223,14 @@
 // Due returns the hosts to which a beat is due and notes that they get one.
 // All hosts are due when urgent, as after a change that keeps work away.
 func (s *State) Due(now time.Time, urgent bool) (addrs []netip.AddrPort) {
-	interval := s.Interval()
 	for addr, h := range s.hosts {
-		wait := interval
+		wait := s.interval(h)
 		if s.silent(now, h) {
 			wait = rareBeat
 		}
 		// A beat that comes a little early keeps beats aligned, which saves
 		// wake-ups.
-		if urgent || now.Sub(h.told) >= wait-interval/10 {
+		if urgent || now.Sub(h.told) >= wait-wait/10 {
 			h.told = now
 			addrs = append(addrs, addr)
 		}
@@ -244,8 +251,7 @@
 }
 
 func (s *State) silent(now time.Time, h *host) bool {
-	// A host that beats to many others does so less often.
-	return h.heard.IsZero() || now.Sub(h.heard) > missedBeats*s.Interval()+shortBeat
+	return h.heard.IsZero() || now.Sub(h.heard) > missedBeats*s.interval(h)+shortBeat
 }
 
 // View returns the fleet as it is now.
--- a/internal/mesh/gate/cold_test.go
+++ b/internal/mesh/gate/cold_test.go
@@ -58,3 +58,27 @@
 		t.Errorf("got %d starts in the 3 s afterwards, want at least 2000", warm)
 	}
 }
+
+// TestPatience guards against a request that is refused so late that its caller
+// has no time for anything else, and against calls that are given up early.
+func TestPatience(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	g := New(NewFixed(1))
+	route := &mesh.Route{Name: "read", Objective: 100 * time.Millisecond}
+	call := func(organisation mesh.OrganisationName) (c *mesh.Call) {
+		return &mesh.Call{Route: route, Organisation: organisation, Deadline: now.Add(time.Second)}
+	}
+	g.Step(now, Arrival{Ticket: 1, Call: call("")})
+	g.Step(now, Arrival{Ticket: 2, Call: call("a")})
+	g.Step(now, Arrival{Ticket: 3, Call: call("")})
+	if got, want := g.Next(), now.Add(50*time.Millisecond); !got.Equal(want) {
+		t.Errorf("got the next look after %v, want after %v", got.Sub(now), want.Sub(now))
+	}
+	actions := g.Step(now.Add(50*time.Millisecond), Elapsed{})
+	if len(actions) != 1 {
+		t.Fatalf("got %d actions, want one refusal", len(actions))
+	}
+	if r, refused := actions[0].(Refuse); !refused || r.Ticket != 2 {
+		t.Errorf("got %+v, want request 2 refused", actions[0])
+	}
+}
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -341,10 +341,11 @@
 	return nil
 }
 
-// wait returns when a token is likely to be left for a request that comes
-// back: others want the next tokens as well.
+// wait returns when a request that comes back is likely to find a token. While
+// more is offered than the rate allows, that is not before the window ends.
 func (a *account) wait() (after time.Duration) {
-	backlog := max(1, a.offered.perSecond())
-	after = time.Duration(backlog / max(a.rate, 1) * float64(time.Second))
-	return min(max(after, slot), window)
+	if a.offered.perSecond() > a.rate {
+		return window
+	}
+	return max(slot, time.Duration(float64(time.Second)/max(a.rate, 1)))
 }
