--- a/internal/mesh/route/route.go
+++ b/internal/mesh/route/route.go
@@ -21,8 +21,8 @@
 	// spillLoad is the load from which on calls leave their zone, and
 	// spillMargin by how much less the other target must be loaded, both in
 	// thousandths of the limit. A target slows down when it is nearly full.
-	spillLoad   = 700
-	spillMargin = 200
+	spillLoad   = 900
+	spillMargin = 300
 
 	// growthDraws is how often a draw of a target is repeated that lands on
 	// one whose share still grows.
