--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -204,13 +204,18 @@
 	}
 	h.heard = now
 	for name, used := range r.Usage {
-		u, seen := h.usage[name]
-		switch {
-		case !seen:
+		if h.usage[name] == nil {
 			// The first report says nothing about when the requests came.
 			h.usage[name] = &remoteUsage{last: used}
-			continue
-		case used.Offered < u.last.Offered || used.Admitted < u.last.Admitted:
+		}
+	}
+	for name, u := range h.usage {
+		used, reported := r.Usage[name]
+		if !reported {
+			// An organisation that is left out has sent nothing more.
+			used = u.last
+		}
+		if used.Offered < u.last.Offered || used.Admitted < u.last.Admitted {
 			// A datagram that was overtaken by a later one.
 			continue
 		}
