gate: a wait for the next turn of a cold target is never zero

TestColdOrder never ended under paused time: the rest of a token can round to a wait of 0 ns, and the duty then looks at the gate again at once, until real time has passed. The wait is at least a millisecond now.

--- a/internal/mesh/gate/cold.go
+++ b/internal/mesh/gate/cold.go
@@ -6,6 +6,9 @@
 // number in any second is at most the rate and this burst.
 const coldBurst = 4
 
+// leastPace is the shortest wait for the next request of a cold target.
+const leastPace = time.Millisecond
+
 // Chilled says that the target is cold for a while and bears only a few
 // requests a second.
 type Chilled struct {
@@ -74,7 +77,9 @@
 	if p.ready(now) {
 		return time.Time{}
 	}
-	at = now.Add(time.Duration((1 - p.tokens) / p.perSecond * float64(time.Second)))
+	// A wait that rounds to nothing would make the gate look again at once,
+	// before any of the next token is there.
+	at = now.Add(max(leastPace, time.Duration((1-p.tokens)/p.perSecond*float64(time.Second))))
 	if at.After(p.until) {
 		return p.until
 	}
