--- a/internal/cmds/attach.go
+++ b/internal/cmds/attach.go
@@ -4,11 +4,14 @@
 	"context"
 	"flag"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/google/subcommands"
 	"github.com/oklog/run"
 
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/agent"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	bridge "github.com/quetzalstack/quetzalstack/platform"
@@ -57,15 +60,53 @@
 	if err != nil {
 		return fail(c.err, err)
 	}
-	if err := runLogged(ctx, queue, node.Run); err != nil {
+	hangups := &hangupDuty{file: c.file, running: settings, log: logs.For(logger, "settings")}
+	if err := runLogged(ctx, queue, hangups, node.Run); err != nil {
 		return fail(c.err, err)
 	}
 	return subcommands.ExitSuccess
 }
 
+// hangupDuty answers SIGHUP, which says that the settings file has changed. The
+// addresses of a running node cannot change, so new settings are only checked.
+type hangupDuty struct {
+	file    string
+	running bridge.Settings
+	log     logs.Log
+}
+
+// Name implements mesh.Duty.
+func (d *hangupDuty) Name() string { return "hangup" }
+
+// Run implements mesh.Duty.
+func (d *hangupDuty) Run(ctx context.Context) (err error) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+			d.check()
+		}
+	}
+}
+
+func (d *hangupDuty) check() {
+	found, err := bridge.ReadSettings(d.file)
+	if err != nil {
+		d.log.Errorf("the settings in force stay: %v.", err)
+		return
+	}
+	d.log.Decided("read again; a change takes effect at the next start", logs.Fields{"file": d.file, "changed": found != d.running})
+}
+
 // runLogged runs work and the queue of its log lines, which ends last.
-func runLogged(ctx context.Context, queue *logs.Queue, work func(ctx context.Context) error) (err error) {
+func runLogged(ctx context.Context, queue *logs.Queue, beside mesh.Duty, work func(ctx context.Context) error) (err error) {
 	var group run.Group
+	signals, ignore := context.WithCancel(context.Background())
+	group.Add(func() error { return beside.Run(signals) }, func(error) { ignore() })
 	lines, stop := context.WithCancel(context.Background())
 	working, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return work(working) }, func(error) { cancel() })
--- a/internal/mesh/agent/settings.go
+++ b/internal/mesh/agent/settings.go
@@ -36,10 +36,6 @@
 	// must have ended.
 	LeaveTime time.Duration
 
-	// DrainTime is how long after its report a draining target still takes
-	// requests that are on their way.
-	DrainTime time.Duration
-
 	// ColdFactor is the part of the announced cold rate at which a cold target
 	// is used, at least 1.
 	ColdFactor float64
--- a/internal/mesh/orders.go
+++ b/internal/mesh/orders.go
@@ -54,16 +54,10 @@
 	Contract Contract
 }
 
-// CallerLimits bound what one caller may send, and how long it may take.
+// CallerLimits bound what one caller may send.
 type CallerLimits struct {
-	// HeaderBytes and BodyBytes are above zero.
-	HeaderBytes int
-	BodyBytes   int64
-
-	// HeaderTime bounds the sending of the headers and IdleTime an unused
-	// connection. Both are above zero.
-	HeaderTime time.Duration
-	IdleTime   time.Duration
+	// BodyBytes is above zero.
+	BodyBytes int64
 }
 
 // Orders are everything that operators have in force at one moment.
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -85,7 +85,7 @@
 	// known is the number of hosts, this one included, at least 1.
 	known   int
 	reports int
-	moved time.Time
+	moved   time.Time
 }
 
 // account is one organisation at this node.
