gate: the cold rate holds a little longer than the announced cold start

Its cold start was announced until 43.18 s; at that moment all requests that had waited started. Ruled out: the rate itself (10.5 a second and 4 at once) and the restart of the node (40.19 s).

--- a/internal/mesh/gate/cold.go
+++ b/internal/mesh/gate/cold.go
@@ -6,6 +6,11 @@
 // number in any second is at most the rate and this burst.
 const coldBurst = 4
 
+// coldTail is for how long the rate holds after the announced end of a cold
+// start. The end is measured on another clock, and the requests that waited
+// would all start at it.
+const coldTail = 200 * time.Millisecond
+
 // leastPace is the shortest wait for the next request of a cold target.
 const leastPace = time.Millisecond
 
@@ -41,6 +46,9 @@
 		p.tokens, p.filled = 1, now
 	}
 	p.until, p.perSecond = c.Until, c.PerSecond
+	if c.Until.After(now) {
+		p.until = c.Until.Add(coldTail)
+	}
 }
 
 func (p *pace) active(now time.Time) bool { return p.perSecond > 0 && now.Before(p.until) }
--- a/internal/mesh/gate/cold_test.go
+++ b/internal/mesh/gate/cold_test.go
@@ -59,6 +59,39 @@
 	}
 }
 
+// TestColdTail guards against requests that waited and all start at the announced
+// end of a cold start, which the target itself may reach a little later.
+func TestColdTail(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	g := New(NewFixed(100))
+	until := now.Add(time.Second)
+	g.Step(now, Chilled{Until: until, PerSecond: 10})
+	route := &mesh.Route{Name: "read"}
+	for i := range Ticket(60) {
+		g.Step(now, Arrival{Ticket: i + 1, Call: &mesh.Call{Route: route, Deadline: now.Add(10 * time.Second)}})
+	}
+	starts := 0
+	for at := now; at.Before(until.Add(100 * time.Millisecond)); at = at.Add(10 * time.Millisecond) {
+		for _, a := range g.Step(at, Elapsed{}) {
+			if _, started := a.(Start); started {
+				starts++
+			}
+		}
+	}
+	if want := 10 + coldBurst; starts > want {
+		t.Errorf("got %d starts until 0.1 s after the cold start, want at most %d", starts, want)
+	}
+	warm := 0
+	for _, a := range g.Step(until.Add(time.Second), Elapsed{}) {
+		if _, started := a.(Start); started {
+			warm++
+		}
+	}
+	if warm == 0 {
+		t.Error("got no start a second after the cold start, want the rest")
+	}
+}
+
 // TestPatience guards against a request that is refused so late that its caller
 // has no time for anything else, and against calls that are given up early.
 func TestPatience(t *testing.T) {
