quota: a node that starts admits nothing under a contract until it knows the hosts

In between it took itself for the only host and gave its buckets the whole contract.

Ruled out: the buckets of long-lived nodes.

Change: the book of contracts refuses (not run, come back after 0.2 s) until it is told the number of hosts. A node takes that number from the list, or from the first beat of another host, which now says how many it has met.

--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -43,7 +43,11 @@
 	// urgent is how many more beats go to all hosts at once.
 	urgent int
 	ticked time.Time
-	beats  *expvar.Int
+
+	// told is the number of hosts that the duty of contracts knows of; zero
+	// until it was told any.
+	told  int
+	beats *expvar.Int
 }
 
 func newMemberDuty(vars *expvar.Map, self mesh.Host, log logs.Log) (d *memberDuty) {
@@ -124,7 +128,7 @@
 func (d *memberDuty) handle(ctx context.Context, now time.Time, e mesh.Event) {
 	switch e := e.(type) {
 	case heardBeat:
-		d.hear(now, e.beat)
+		d.hear(ctx, now, e.beat)
 	case announced:
 		d.announce(ctx, now, e)
 	case listedHosts:
@@ -134,6 +138,7 @@
 			}
 		}
 		d.publish(now)
+		d.tellKnown(ctx)
 	case newOrders:
 		d.state.TakeOut(e.Out)
 		d.publish(now)
@@ -144,15 +149,25 @@
 	}
 }
 
-func (d *memberDuty) hear(now time.Time, b *beat.Beat) {
+// tellKnown tells the duty of contracts how many hosts share them, when that has
+// changed.
+func (d *memberDuty) tellKnown(ctx context.Context) {
+	if known := d.View().Known; known != d.told {
+		d.told = known
+		_ = d.quota.events.Send(ctx, knownHosts{hosts: known})
+	}
+}
+
+func (d *memberDuty) hear(ctx context.Context, now time.Time, b *beat.Beat) {
 	known := d.View().Known
-	if d.state.Hear(now, b.Host) {
+	if d.state.Hear(now, b.Host, b.Known) {
 		d.publish(now)
 		if d.View().Known > known {
 			d.log.Decided("a host joined", logs.Fields{"host": b.Host.Addr.String(), "zone": b.Host.Zone})
 		}
 	}
-	d.quota.events.Offer(heardUsage{report: b.Usage, known: d.View().Known})
+	d.tellKnown(ctx)
+	d.quota.events.Offer(heardUsage{report: b.Usage})
 	d.compare(b)
 }
 
@@ -236,7 +251,7 @@
 	}
 	self := d.state.Self()
 	b := &beat.Beat{
-		Host:  self,
+		Host: self, Known: d.state.Met(),
 		Usage: quota.Report{From: self.Addr, Incarnation: self.Incarnation, Usage: d.quota.Usage(ctx)},
 	}
 	if own := d.follow.view.Load(); own != nil {
--- a/internal/mesh/agent/quota.go
+++ b/internal/mesh/agent/quota.go
@@ -32,10 +32,10 @@
 	reply        ring.Reply
 }
 
-type heardUsage struct {
-	report quota.Report
-	known  int
-}
+type heardUsage struct{ report quota.Report }
+
+// knownHosts says how many hosts there are, this one included.
+type knownHosts struct{ hosts int }
 
 type askUsage struct{ reply ring.Reply }
 
@@ -51,6 +51,9 @@
 // EventName implements mesh.Event.
 func (heardUsage) EventName() string { return "heard-usage" }
 
+// EventName implements mesh.Event.
+func (knownHosts) EventName() string { return "known-hosts" }
+
 // EventName implements mesh.Event.
 func (askUsage) EventName() string { return "ask-usage" }
 
@@ -109,8 +112,9 @@
 	case admit:
 		e.reply.Answer(verdict{refusal: d.book.Admit(now, e.organisation)})
 	case heardUsage:
-		d.book.SetKnown(e.known)
 		d.book.Hear(now, e.report)
+	case knownHosts:
+		d.book.SetKnown(now, e.hosts)
 	case askUsage:
 		e.reply.Answer(usage{used: d.book.Used(now)})
 	case newOrders:
--- a/internal/mesh/beat/beat.go
+++ b/internal/mesh/beat/beat.go
@@ -15,6 +15,10 @@
 // MaxBytes bounds a datagram. A larger one is not read.
 const MaxBytes = 32 << 10
 
+// maxHosts bounds the number of hosts that a beat may claim, which is more than
+// ten times the fleet that the design is made for.
+const maxHosts = 100_000
+
 // maxTargets bounds the targets that one host may have.
 const maxTargets = 64
 
@@ -24,6 +28,10 @@
 	Host  mesh.Host
 	Usage quota.Report
 
+	// Known is how many hosts the sender has met or found listed, itself
+	// included.
+	Known int
+
 	// AsOf and Rules are the state and version of the orders that the host
 	// follows, so that others notice newer ones.
 	AsOf  uint64
@@ -48,6 +56,7 @@
 	AsOf        uint64
 	Rules       uint64
 	OutDigest   uint64
+	Known       int
 }
 
 type target struct {
@@ -68,7 +77,7 @@
 func Encode(now time.Time, b *Beat) (data []byte, err error) {
 	m := message{
 		Addr: b.Host.Addr.String(), Zone: string(b.Host.Zone), Incarnation: uint64(b.Host.Incarnation),
-		Revision: b.Host.Revision, State: uint8(b.Host.State), AsOf: b.AsOf, Rules: b.Rules, OutDigest: b.OutDigest,
+		Revision: b.Host.Revision, State: uint8(b.Host.State), AsOf: b.AsOf, Rules: b.Rules, OutDigest: b.OutDigest, Known: b.Known,
 		Usage: make(map[string][]int64, len(b.Usage.Usage)),
 	}
 	for _, t := range b.Host.Targets {
@@ -99,6 +108,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if m.Known < 0 || m.Known > maxHosts {
+		return nil, fmt.Errorf("%d hosts are no fleet; at most %d are known", m.Known, maxHosts)
+	}
 	if m.Zone == "" || m.State > uint8(mesh.HostLeft) || len(m.Targets) > maxTargets {
 		return nil, fmt.Errorf("zone %q, state %d and %d targets are not a host", m.Zone, m.State, len(m.Targets))
 	}
@@ -108,7 +120,7 @@
 			Revision: m.Revision, State: mesh.HostState(m.State),
 		},
 		Usage: quota.Report{From: addr, Incarnation: mesh.Incarnation(m.Incarnation)},
-		AsOf:  m.AsOf, Rules: m.Rules, OutDigest: m.OutDigest,
+		AsOf:  m.AsOf, Rules: m.Rules, OutDigest: m.OutDigest, Known: m.Known,
 	}
 	if b.Host.Targets, err = decodeTargets(now, m.Targets); err != nil {
 		return nil, err
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -78,6 +78,9 @@
 
 	// told is when this node last sent it a beat.
 	told time.Time
+
+	// known is how many hosts it has met itself.
+	known int
 }
 
 // View is the fleet at one moment. It never changes.
@@ -89,7 +92,8 @@
 	// Peers holds the other hosts that are not silent, by address.
 	Peers map[netip.AddrPort]mesh.Host
 
-	// Known is the number of hosts, this one included, silent or not.
+	// Known is the number of hosts, this one included, silent or not. A node
+	// that has just started takes it from the others.
 	Known int
 }
 
@@ -121,21 +125,21 @@
 
 // Hear takes in what a host says about itself. Beats can overtake each other,
 // so an older one than the last is dropped. It reports whether the view may
-// have changed.
-func (s *State) Hear(now time.Time, h mesh.Host) (changed bool) {
+// have changed. Known is how many hosts the host has met itself.
+func (s *State) Hear(now time.Time, h mesh.Host, known int) (changed bool) {
 	if h.Addr == s.self.Addr {
 		return false
 	}
-	known, found := s.hosts[h.Addr]
+	last, found := s.hosts[h.Addr]
 	if !found {
-		known = new(host)
-		s.hosts[h.Addr] = known
+		last = new(host)
+		s.hosts[h.Addr] = last
 	}
-	if h.Incarnation < known.Incarnation || h.Incarnation == known.Incarnation && h.Revision < known.Revision {
+	if h.Incarnation < last.Incarnation || h.Incarnation == last.Incarnation && h.Revision < last.Revision {
 		return false
 	}
-	changed = s.silent(now, known) || h.Incarnation != known.Incarnation || h.Revision != known.Revision
-	known.Host, known.heard = h, now
+	changed = s.silent(now, last) || h.Incarnation != last.Incarnation || h.Revision != last.Revision || known != last.known
+	last.Host, last.heard, last.known = h, now, known
 	return changed
 }
 
@@ -207,6 +211,9 @@
 	return names
 }
 
+// Met returns how many hosts this node has met or found listed, itself included.
+func (s *State) Met() (hosts int) { return len(s.hosts) + 1 }
+
 // Leave marks this host as draining, so that others send it no more work.
 func (s *State) Leave() {
 	s.self.State = mesh.HostDraining
@@ -260,7 +267,7 @@
 	v = &View{
 		Targets: make(map[mesh.ServiceName][]mesh.Endpoint),
 		Peers:   make(map[netip.AddrPort]mesh.Host, len(s.hosts)),
-		Known:   len(s.hosts) + 1,
+		Known:   s.Met(),
 	}
 	v.add(s.self, s.out)
 	var silent []mesh.Host
@@ -270,6 +277,7 @@
 			continue
 		}
 		v.Peers[h.Addr] = h.Host
+		v.Known = max(v.Known, h.known)
 		v.add(h.Host, s.out)
 	}
 	v.addSilent(silent, s.out)
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -58,6 +58,10 @@
 	lately     = 1500 * time.Millisecond
 	wholeEvery = 10
 
+	// unknownWait is how long a node that starts needs until it knows the hosts
+	// that share the contracts.
+	unknownWait = 200 * time.Millisecond
+
 	// reserve is for how long the demand of a silent host counts. It may live
 	// behind a cut and use its part.
 	reserve = time.Minute
@@ -82,7 +86,7 @@
 	accounts map[mesh.OrganisationName]*account
 	hosts    map[netip.AddrPort]*remote
 
-	// known is the number of hosts, this one included, at least 1.
+	// known is the number of hosts, this one included; zero until it is known.
 	known   int
 	reports int
 	moved   time.Time
@@ -154,9 +158,10 @@
 // perSecond returns the rate over the recent slots.
 func (c *counts) perSecond() (rate float64) { return c.total(recent) / (recent * slot.Seconds()) }
 
-// New returns a book without contracts.
+// New returns a book without contracts. It admits nothing under a contract until
+// it knows how many hosts share it.
 func New() (b *Book) {
-	return &Book{accounts: make(map[mesh.OrganisationName]*account), hosts: make(map[netip.AddrPort]*remote), known: 1}
+	return &Book{accounts: make(map[mesh.OrganisationName]*account), hosts: make(map[netip.AddrPort]*remote)}
 }
 
 // Configure puts contracts in force. A contract of rate zero has no limit.
@@ -167,9 +172,7 @@
 		a, found := b.accounts[c.Organisation]
 		if !found {
 			a = &account{filled: now, since: now}
-			for i := range a.fractions {
-				a.fractions[i] = 1 / float64(b.known)
-			}
+			a.share(b.known)
 			b.accounts[c.Organisation] = a
 		}
 		changed := a.contract != c
@@ -185,7 +188,25 @@
 }
 
 // SetKnown sets how many hosts there are, this one included.
-func (b *Book) SetKnown(hosts int) { b.known = max(1, hosts) }
+func (b *Book) SetKnown(now time.Time, hosts int) {
+	first := b.known == 0
+	b.known = max(1, hosts)
+	if !first {
+		return
+	}
+	for _, a := range b.accounts {
+		a.share(b.known)
+		b.resize(now, a)
+		a.tokens = 1
+	}
+}
+
+// share gives a node that knows nothing of the demand an equal part of it.
+func (a *account) share(hosts int) {
+	for i := range a.fractions {
+		a.fractions[i] = 1 / float64(max(1, hosts))
+	}
+}
 
 // Hear takes in the usage of another host.
 func (b *Book) Hear(now time.Time, r Report) {
@@ -348,6 +369,11 @@
 	if !found || a.contract.Rate == 0 {
 		return nil
 	}
+	if b.known == 0 {
+		refusal = mesh.NotRun(header.NoSettings, "the node does not know yet how many hosts share the rate of organisation %q", name)
+		refusal.RetryAfter = unknownWait
+		return refusal
+	}
 	a.asked = now
 	a.used.Offered++
 	a.offered[0]++
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -12,6 +12,10 @@
 // step is the time step of the simulated fleet.
 const step = 10 * time.Millisecond
 
+// listTime is how much later a node that starts knows the hosts than the rules:
+// the list takes three calls of a store that answers in some 10 ms.
+const listTime = 40 * time.Millisecond
+
 // host is one node of a simulated fleet.
 type host struct {
 	addr netip.AddrPort
@@ -23,6 +27,9 @@
 
 	// cut hosts exchange no reports, and down ones get no requests either.
 	cut, down bool
+
+	// listed is when the node learns how many hosts there are.
+	listed time.Time
 }
 
 // rig is a simulated fleet under paused time: Poisson arrivals at each host and
@@ -55,8 +62,14 @@
 }
 
 func (r *rig) start(h *host) {
-	h.book, h.life = New(), h.life+1
-	h.book.SetKnown(len(r.hosts))
+	h.book, h.life, h.listed = New(), h.life+1, r.now
+	h.book.SetKnown(r.now, len(r.hosts))
+	h.book.Configure(r.now, []mesh.Contract{r.contract})
+}
+
+// restart starts a node that reads its contracts before the list of hosts.
+func (r *rig) restart(h *host) {
+	h.book, h.life, h.listed = New(), h.life+1, r.now.Add(listTime)
 	h.book.Configure(r.now, []mesh.Contract{r.contract})
 }
 
@@ -76,6 +89,9 @@
 					r.refused[n]++
 				}
 			}
+			if r.now.Equal(h.listed) {
+				h.book.SetKnown(r.now, len(r.hosts))
+			}
 			if n%25 == i%25 {
 				h.book.Tick(r.now)
 			}
@@ -99,7 +115,6 @@
 		if to == h || to.down || to.cut != h.cut {
 			continue
 		}
-		to.book.SetKnown(len(r.hosts))
 		to.book.Hear(r.now, Report{From: h.addr, Incarnation: h.life, Usage: h.book.Used(r.now)})
 	}
 }
@@ -178,6 +193,16 @@
 				r.start(h)
 			}
 		}},
+		{"many hosts, all killed, contracts known before the hosts", 65, 431, func(r *rig) {
+			for _, h := range r.hosts {
+				r.restart(h)
+			}
+		}},
+		{"all killed, contracts known before the hosts", 13, 254, func(r *rig) {
+			for _, h := range r.hosts {
+				r.restart(h)
+			}
+		}},
 		{"many hosts, demand moves", 65, 431, func(r *rig) {
 			for i, h := range r.hosts {
 				h.demand *= float64(i % 2 * 2)
@@ -236,3 +261,26 @@
 		t.Errorf("got %d requests refused, want 0", got)
 	}
 }
+
+// TestUnknownHosts guards against a node that starts and takes a whole contract
+// for itself until it has read the list of hosts.
+func TestUnknownHosts(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	b := New()
+	b.Configure(now, []mesh.Contract{{Organisation: "a", Rate: 100, Burst: 100}, {Organisation: "free"}})
+	if got := b.Admit(now, "a"); got == nil || got.RetryAfter != unknownWait {
+		t.Errorf("before the hosts are known: got %v, want a refusal to come back after %v", got, unknownWait)
+	}
+	if got := b.Admit(now, "free"); got != nil {
+		t.Errorf("no limit: got %v, want no refusal", got)
+	}
+	b.SetKnown(now, 10)
+	now = now.Add(time.Second)
+	admitted := 0
+	for b.Admit(now, "a") == nil {
+		admitted++
+	}
+	if want := 100 / 10; admitted > want || admitted == 0 {
+		t.Errorf("got %d requests in the first second, want 1 to %d", admitted, want)
+	}
+}
