gate: routes rank the requests of one organisation, and calls keep the importance of theirs

Ruled out: the retry budget as the cause in seconds 4 to 12 (no instance refused there); cold starts (none before second 24).

Change: a call has a rank beside its class: the organisation's priority goes first, then the route's. Inside a rank calls go before new requests. A call of a target takes class, rank and organisation from the request that the target runs, which the node beside it finds by the call's id; where it finds none, the call goes first, as before.

--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -111,7 +111,7 @@
 	a.front = &front{
 		settings: s, dialect: a.platform.Dialect,
 		follow: follow, member: member, quota: quotas, place: place, gate: gates, meter: measures,
-		links: newLinks(), target: target, log: logs.For(l, "front"),
+		links: newLinks(), target: target, deliveries: newDeliveries(), log: logs.For(l, "front"),
 	}
 	a.duties = []mesh.Duty{
 		follow, member, quotas, gates, place, fetch, probe, measures,
--- /dev/null
+++ b/internal/mesh/agent/deliveries_test.go
@@ -0,0 +1,71 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// TestJoin guards against a call that does not have the importance of the
+// request that it belongs to, and against one that takes it from a request that
+// has ended.
+func TestJoin(t *testing.T) {
+	f := &front{deliveries: newDeliveries()}
+	parent := &mesh.Call{Label: "p", Class: mesh.ClassNormal, Rank: 2, Organisation: "o", Repeat: true}
+	join := func(id string) (call mesh.Call) {
+		call = mesh.Call{Class: mesh.ClassCritical, Rank: 1}
+		f.join(&call, id)
+		return call
+	}
+	f.deliveries.begin(parent)
+	got, want := join("p"), mesh.Call{Class: mesh.ClassNormal, Rank: 2, Deeper: true, Origin: "o", Repeat: true}
+	if got != want {
+		t.Errorf("running parent: got %+v, want %+v", got, want)
+	}
+	unknown := mesh.Call{Class: mesh.ClassCritical, Rank: 1, Deeper: true}
+	for _, id := range []string{"", "other"} {
+		if got := join(id); got != unknown {
+			t.Errorf("parent %q: got %+v, want %+v", id, got, unknown)
+		}
+	}
+	again := *parent
+	f.deliveries.begin(&again)
+	f.deliveries.end(parent)
+	if got := join("p"); got != want {
+		t.Errorf("repeat that still runs: got %+v, want %+v", got, want)
+	}
+	f.deliveries.end(&again)
+	if got := join("p"); got != unknown {
+		t.Errorf("ended parent: got %+v, want %+v", got, unknown)
+	}
+}
+
+// TestPass guards against a field of a call that is lost on its way to the node
+// of the target.
+func TestPass(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	want := &mesh.Call{
+		Route: &mesh.Route{Name: "r", Service: "s", Idempotent: true, Objective: time.Second},
+		Label: "p.1", Caller: "c", Class: mesh.ClassNormal, Rank: 2, Deeper: true, Origin: "o", Repeat: true, Weight: 1,
+		Deadline: now.Add(time.Second),
+	}
+	value, err := sealPass(now, want, mesh.Endpoint{Target: mesh.Target{Name: "i"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, target, err := openPass(now, value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Route.Name != want.Route.Name || got.Route.Idempotent != want.Route.Idempotent || target != "i" {
+		t.Errorf("got route %+v and target %q, want %+v and i", got.Route, target, want.Route)
+	}
+	if left := got.Deadline.Sub(now); left != passedTime(time.Second) {
+		t.Errorf("got %v left, want %v", left, passedTime(time.Second))
+	}
+	got.Route, got.Deadline = want.Route, want.Deadline
+	if *got != *want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -36,7 +36,10 @@
 	meter    *meter.Duty
 	links    *links
 	target   *link.Pool
-	log      logs.Log
+
+	// deliveries are the requests that the target on this host runs.
+	deliveries *deliveries
+	log        logs.Log
 
 	// leaving is set once and never cleared.
 	leaving atomic.Bool
@@ -113,10 +116,24 @@
 		}
 		call.Organisation, call.Key = organisation.Name, in.Key
 	}
-	call.Class = rules.ClassOf(route, organisation)
+	call.Class, call.Rank = rules.Importance(route, organisation)
+	if organisation == nil {
+		f.join(call, in.Parent)
+	}
 	return call, organisation, nil
 }
 
+// join gives a call of the target on this host the importance of the request
+// that it belongs to. Where that is not known, the call goes before all requests.
+func (f *front) join(call *mesh.Call, parent string) {
+	call.Deeper = true
+	p, found := f.deliveries.find(parent)
+	if !found {
+		return
+	}
+	call.Class, call.Rank, call.Origin, call.Repeat = p.Class, p.Rank, p.Owner(), p.Repeat
+}
+
 // notReadyWait is how long a node that has just started needs to read the
 // rules.
 const notReadyWait = 200 * time.Millisecond
--- a/internal/mesh/agent/gate.go
+++ b/internal/mesh/agent/gate.go
@@ -191,16 +191,15 @@
 	}
 }
 
-// ranked returns the call with the class that it has at the gate. A warm target
-// runs the calls of other targets first, since they belong to work in progress.
-// A cold one bears so few that whole requests of callers come first: a chain
-// that needs several of its turns hardly ever ends in time.
+// ranked returns the call with the class that it has at the gate. A cold target
+// bears so few that whole requests of callers come first: a chain that needs
+// several of its turns hardly ever ends in time.
 func (d *gateDuty) ranked(call *mesh.Call) (c *mesh.Call) {
-	if call.Organisation != "" || !d.gate.Cold() {
+	if !call.Deeper || !d.gate.Cold() {
 		return call
 	}
 	ranked := *call
-	ranked.Class = mesh.ClassNormal
+	ranked.Class = mesh.ClassLow
 	return &ranked
 }
 
--- a/internal/mesh/agent/pass.go
+++ b/internal/mesh/agent/pass.go
@@ -21,7 +21,11 @@
 	Label        string
 	Organisation string
 	Class        uint8
+	Rank         uint8
 	Idempotent   bool
+	Deeper       bool
+	Origin       string
+	Repeat       bool
 
 	// Objective is in microseconds.
 	Objective int64
@@ -37,7 +41,8 @@
 func sealPass(now time.Time, call *mesh.Call, to mesh.Endpoint) (value string, err error) {
 	data, err := cbor.Marshal(pass{
 		Route: call.Route.Name, Service: string(call.RunsAt()), Caller: string(call.Caller), Label: call.Label,
-		Organisation: string(call.Organisation), Class: uint8(call.Class), Idempotent: call.Route.Idempotent,
+		Organisation: string(call.Organisation), Class: uint8(call.Class), Rank: uint8(call.Rank),
+		Idempotent: call.Route.Idempotent, Deeper: call.Deeper, Origin: string(call.Origin), Repeat: call.Repeat,
 		Objective: call.Route.Objective.Microseconds(), Target: to.Target.Name, Left: passedTime(call.Remaining(now)).Microseconds(),
 	})
 	return base64.RawStdEncoding.EncodeToString(data), err
@@ -60,8 +65,8 @@
 	if err := cbor.Unmarshal(data, &p); err != nil {
 		return nil, "", err
 	}
-	if p.Service == "" || p.Label == "" || p.Class >= mesh.ClassCount {
-		return nil, "", fmt.Errorf("service %q, request %q and class %d describe no call", p.Service, p.Label, p.Class)
+	if p.Service == "" || p.Label == "" || p.Class >= mesh.ClassCount || p.Rank >= mesh.RankCount {
+		return nil, "", fmt.Errorf("service %q, request %q, class %d and rank %d describe no call", p.Service, p.Label, p.Class, p.Rank)
 	}
 	return &mesh.Call{
 		Route: &mesh.Route{
@@ -71,6 +76,10 @@
 		Label:        p.Label,
 		Caller:       mesh.ServiceName(p.Caller),
 		Class:        mesh.Class(p.Class),
+		Rank:         mesh.Rank(p.Rank),
+		Deeper:       p.Deeper,
+		Origin:       mesh.OrganisationName(p.Origin),
+		Repeat:       p.Repeat,
 		Organisation: mesh.OrganisationName(p.Organisation),
 		Weight:       1,
 		Deadline:     now.Add(time.Duration(p.Left) * time.Microsecond),
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -56,7 +56,9 @@
 		return nil, in.refusal
 	}
 	started := time.Now()
+	f.deliveries.begin(call)
 	answer, refusal = f.send(ctx, in, call, p)
+	f.deliveries.end(call)
 	finished := gate.Finished{Ticket: in.ticket, Latency: time.Since(started)}
 	if refusal != nil {
 		finished.Overloaded = refusal.Code == header.TargetRefused
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -32,6 +32,12 @@
 	return classNames[c]
 }
 
+// Rank is the importance of a request among those of its class.
+type Rank uint8
+
+// RankCount is the number of ranks.
+const RankCount = 4
+
 // ParseClass returns the class with the given name.
 func ParseClass(name string) (class Class, found bool) {
 	for i, n := range classNames {
@@ -173,9 +179,24 @@
 	// deeper calls keep it, whatever their own routes say.
 	Class Class
 
+	// Rank orders the requests of one class, such as the routes of one
+	// organisation; 0 is the most important.
+	Rank Rank
+
 	// Organisation is empty on open routes.
 	Organisation OrganisationName
 
+	// Deeper is true for a call that a target makes for a request that it runs.
+	Deeper bool
+
+	// Origin is the organisation whose request a deeper call belongs to. It is
+	// empty where that is not known, and no target is told of it.
+	Origin OrganisationName
+
+	// Repeat is true when this call, or the request that it belongs to, has been
+	// sent to a target before.
+	Repeat bool
+
 	// Key is the hash of the key that the request came with. It lets every
 	// node on the way see a withdrawal.
 	Key KeyHash
@@ -199,5 +220,14 @@
 	return c.Route.Service
 }
 
+// Owner returns the organisation that the call is done for; empty where that is
+// not known.
+func (c *Call) Owner() (o OrganisationName) {
+	if c.Deeper && c.Origin != "" {
+		return c.Origin
+	}
+	return c.Organisation
+}
+
 // Remaining returns the time left until the deadline.
 func (c *Call) Remaining(now time.Time) (left time.Duration) { return c.Deadline.Sub(now) }
--- a/internal/mesh/dialect.go
+++ b/internal/mesh/dialect.go
@@ -10,6 +10,10 @@
 	// ID is the caller's name for the request, never empty.
 	ID string
 
+	// Parent is the id of the request that a target makes this call for; empty
+	// where the id does not show one.
+	Parent string
+
 	// Timeout is how long the caller waits; zero when it does not say.
 	Timeout time.Duration
 
--- /dev/null
+++ b/internal/mesh/gate/lane_test.go
@@ -0,0 +1,59 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+)
+
+// TestLanes guards against a payout that waits behind a view of the same
+// organisation, against calls that wait behind requests of their own rank, and
+// against a call for a view that goes before a payout.
+func TestLanes(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	route := &mesh.Route{Name: "r"}
+	arrivals := []mesh.Call{
+		{Class: mesh.ClassNormal, Rank: 2, Organisation: "a"},
+		{Class: mesh.ClassNormal, Rank: 2, Origin: "a", Deeper: true},
+		{Class: mesh.ClassNormal, Rank: 0, Organisation: "a"},
+		{Class: mesh.ClassNormal, Rank: 0, Origin: "a", Deeper: true},
+		{Class: mesh.ClassHigh, Rank: 3, Organisation: "b"},
+		{Class: mesh.ClassCritical, Rank: 0, Deeper: true},
+	}
+	want := []mesh.Ticket{5, 4, 3, 2, 1, 0}
+	q := NewFair(10, time.Second)
+	for i := range arrivals {
+		arrivals[i].Route = route
+		q.Push(mesh.Waiter{Ticket: mesh.Ticket(i), Call: &arrivals[i], Since: now})
+	}
+	for i, w := range want {
+		got, found := q.Pop(now)
+		if !found || got.Ticket != w {
+			t.Errorf("place %d: got request %d (found %t), want %d", i, got.Ticket, found, w)
+		}
+	}
+}
+
+// TestOwners guards against an organisation whose calls take all turns from the
+// calls made for another one.
+func TestOwners(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	q := NewFair(100, time.Second)
+	for i := range 40 {
+		call := &mesh.Call{Route: &mesh.Route{Name: "r"}, Deeper: true, Origin: "many"}
+		if i >= 36 {
+			call.Origin = "few"
+		}
+		q.Push(mesh.Waiter{Ticket: mesh.Ticket(i), Call: call, Since: now})
+	}
+	few := 0
+	for range 8 {
+		if next, _ := q.Pop(now); next.Call.Origin == "few" {
+			few++
+		}
+	}
+	if got, want := few, 4; got != want {
+		t.Errorf("got %d of the first 8 turns for the organisation with few calls, want %d", got, want)
+	}
+}
--- a/internal/mesh/gate/queue.go
+++ b/internal/mesh/gate/queue.go
@@ -7,19 +7,33 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 )
 
-// Fair is a queue of strict classes. Inside a class it serves organisations by
-// deficit round robin, and inside an organisation the newest request first
-// while the oldest has waited longer than the target delay.
+// Fair is a queue of strict classes and, inside a class, strict ranks. Deeper
+// calls go before requests of the same rank, since they belong to work in
+// progress. Otherwise it serves organisations by deficit round robin, and inside
+// an organisation the newest request first while the oldest has waited longer
+// than the target delay.
 type Fair struct {
 	length      int
 	targetDelay time.Duration
-	classes     [mesh.ClassCount]classLine
+	lanes       [laneCount]lane
 	entries     map[mesh.Ticket]*entry
 	unused      *entry
 }
 
-// classLine holds the organisations of one class that have requests waiting.
-type classLine struct {
+// laneCount is the number of lanes: two for each rank of each class.
+const laneCount = 2 * mesh.ClassCount * mesh.RankCount
+
+// laneOf returns the lane of a call. Lower lanes go first.
+func laneOf(call *mesh.Call) (n int) {
+	n = 2 * (int(classOf(call))*mesh.RankCount + int(min(call.Rank, mesh.RankCount-1)))
+	if !call.Deeper {
+		n++
+	}
+	return n
+}
+
+// lane holds the organisations of equal importance that have requests waiting.
+type lane struct {
 	// lines has no empty line. The organisation whose turn it is stands at
 	// turn.
 	lines []*orgLine
@@ -29,7 +43,7 @@
 // orgLine holds the waiting requests of one organisation, oldest first.
 type orgLine struct {
 	organisation mesh.OrganisationName
-	class        mesh.Class
+	lane         int
 	weight       int
 
 	// deficit is how many more requests run in this turn, at most weight.
@@ -57,7 +71,7 @@
 func (q *Fair) Len() (n int) { return len(q.entries) }
 
 // Push implements mesh.Queue. A full queue drops from the least important
-// class the oldest request of the organisation that has most waiting for its
+// lane the oldest request of the organisation that has most waiting for its
 // weight, so that one organisation cannot keep the others out.
 func (q *Fair) Push(w mesh.Waiter) (displaced mesh.Waiter, full bool) {
 	q.add(w)
@@ -68,7 +82,7 @@
 }
 
 func (q *Fair) add(w mesh.Waiter) {
-	line := q.classes[classOf(w.Call)].line(w.Call)
+	line := q.lanes[laneOf(w.Call)].line(w.Call)
 	e := q.unused
 	if e == nil {
 		e = new(entry)
@@ -92,16 +106,16 @@
 
 // line returns the line of the call's organisation. A new one joins as the
 // last of the round.
-func (c *classLine) line(call *mesh.Call) (line *orgLine) {
+func (c *lane) line(call *mesh.Call) (line *orgLine) {
 	weight := max(1, call.Weight)
 	for _, l := range c.lines {
-		if l.organisation == call.Organisation {
+		if l.organisation == call.Owner() {
 			l.weight = weight
 			l.deficit = min(l.deficit, weight)
 			return l
 		}
 	}
-	line = &orgLine{organisation: call.Organisation, class: classOf(call), weight: weight}
+	line = &orgLine{organisation: call.Owner(), lane: laneOf(call), weight: weight}
 	c.lines = slices.Insert(c.lines, c.turn, line)
 	if len(c.lines) > 1 {
 		c.turn++
@@ -110,8 +124,8 @@
 }
 
 func (q *Fair) displace() (w mesh.Waiter) {
-	for i := len(q.classes) - 1; i >= 0; i-- {
-		c := &q.classes[i]
+	for i := len(q.lanes) - 1; i >= 0; i-- {
+		c := &q.lanes[i]
 		if len(c.lines) > 0 {
 			return q.take(c.longest().oldest)
 		}
@@ -120,7 +134,7 @@
 }
 
 // longest returns the line that has most waiting for its weight.
-func (c *classLine) longest() (line *orgLine) {
+func (c *lane) longest() (line *orgLine) {
 	for _, l := range c.lines {
 		if line == nil || l.count*line.weight > line.count*l.weight {
 			line = l
@@ -145,7 +159,7 @@
 	}
 	l.count--
 	if l.count == 0 {
-		q.classes[l.class].drop(l)
+		q.lanes[l.lane].drop(l)
 	}
 	delete(q.entries, w.Ticket)
 	*e = entry{newer: q.unused}
@@ -153,7 +167,7 @@
 	return w
 }
 
-func (c *classLine) drop(line *orgLine) {
+func (c *lane) drop(line *orgLine) {
 	i := slices.Index(c.lines, line)
 	c.lines = slices.Delete(c.lines, i, i+1)
 	if i < c.turn {
@@ -166,8 +180,8 @@
 
 // Pop implements mesh.Queue.
 func (q *Fair) Pop(now time.Time) (next mesh.Waiter, found bool) {
-	for i := range q.classes {
-		c := &q.classes[i]
+	for i := range q.lanes {
+		c := &q.lanes[i]
 		if len(c.lines) == 0 {
 			continue
 		}
@@ -200,11 +214,11 @@
 	return found
 }
 
-// Each implements mesh.Queue. Requests come in the order of classes, so that
+// Each implements mesh.Queue. Requests come in the order of lanes, so that
 // equal histories give equal orders.
 func (q *Fair) Each(visit func(w mesh.Waiter) (more bool)) {
-	for i := range q.classes {
-		for _, l := range q.classes[i].lines {
+	for i := range q.lanes {
+		for _, l := range q.lanes[i].lines {
 			for e := l.oldest; e != nil; e = e.newer {
 				if !visit(e.Waiter) {
 					return
--- a/internal/mesh/orders.go
+++ b/internal/mesh/orders.go
@@ -46,8 +46,8 @@
 	Name OrganisationName
 	Keys []KeyHash
 
-	// Priority ranks the organisation before the route's class; 0 is the
-	// most important, and nil leaves the order to the classes.
+	// Priority goes before the importance of the route; 0 is the most
+	// important, and nil leaves the order to the routes.
 	Priority *int
 
 	// Contract has a rate of zero when the organisation is not limited.
--- a/internal/mesh/retry/budget.go
+++ b/internal/mesh/retry/budget.go
@@ -53,14 +53,14 @@
 // SetHosts sets how many hosts share the slack.
 func (b *Budgets) SetHosts(n int) { b.hosts = max(1, n) }
 
-// Called counts a request. A call of a target has no organisation.
+// Called counts a request.
 func (b *Budgets) Called(now time.Time, call *mesh.Call) { b.counts(now, call).requests[0]++ }
 
 // Repeat takes one repeat of a request, or reports false.
 func (b *Budgets) Repeat(now time.Time, call *mesh.Call) (allowed bool) {
 	c := b.counts(now, call)
 	part := entryPart
-	if call.Organisation == "" {
+	if call.Deeper {
 		part = callPart
 	}
 	if sum(c.repeats)+1 > part*(b.ratio*sum(c.requests)+b.slack/float64(b.hosts)) {
@@ -79,7 +79,7 @@
 
 // counts returns the counts of the window that ends now.
 func (b *Budgets) counts(now time.Time, call *mesh.Call) (c *serviceCounts) {
-	key := budgetKey{service: call.RunsAt(), deeper: call.Organisation == ""}
+	key := budgetKey{service: call.RunsAt(), deeper: call.Deeper}
 	c, found := b.services[key]
 	if !found {
 		c = &serviceCounts{at: now}
--- a/internal/mesh/rules/rules.go
+++ b/internal/mesh/rules/rules.go
@@ -107,18 +107,20 @@
 	return route.Split[len(route.Split)-1].Service
 }
 
-// ClassOf returns the importance of a request. A request without an
+// Importance returns the class and rank of a request. A request without an
 // organisation is a call of a target that already runs a request, so turning
 // it away would waste work: it comes first. An organisation's own priority
-// counts before the one of the route.
-func ClassOf(route *mesh.Route, o *mesh.Organisation) (class mesh.Class) {
-	if o == nil {
-		return mesh.ClassCritical
+// counts before the one of the route, which orders its requests.
+func Importance(route *mesh.Route, o *mesh.Organisation) (class mesh.Class, rank mesh.Rank) {
+	rank = mesh.Rank(min(mesh.RankCount-1, route.Class))
+	switch {
+	case o == nil:
+		return mesh.ClassCritical, rank
+	case o.Priority != nil:
+		return min(mesh.ClassLow, mesh.ClassHigh+mesh.Class(max(0, *o.Priority))), rank
+	default:
+		return min(mesh.ClassLow, mesh.ClassHigh+route.Class), rank
 	}
-	if o.Priority != nil {
-		return min(mesh.ClassLow, mesh.ClassHigh+mesh.Class(max(0, *o.Priority)))
-	}
-	return min(mesh.ClassLow, mesh.ClassHigh+route.Class)
 }
 
 // Merge returns the orders that are in force after next was heard. The version
