fleet: large zones pass the beats of other zones on among their hosts

Cause: each host sends its beats to every other host.

Change: a zone with eight hosts or more gets each beat at two of its hosts, which change with every beat and pass it on to their zone. Urgent changes and beats to silent hosts still go to each host. Small fleets are not changed. A beat that the socket refuses is logged, once for a row of them.

--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -1,9 +1,11 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"expvar"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +50,9 @@
 	// until it was told any.
 	told  int
 	beats *expvar.Int
+
+	// refused is true while the socket refuses what is sent.
+	refused bool
 }
 
 func newMemberDuty(vars *expvar.Map, self mesh.Host, log logs.Log) (d *memberDuty) {
@@ -70,7 +75,12 @@
 // View returns the fleet as it was last seen.
 func (d *memberDuty) View() (v *fleet.View) { return d.view.Load() }
 
-type heardBeat struct{ beat *beat.Beat }
+// heardBeat brings a beat of another host. The datagram is set when it is to be
+// passed on.
+type heardBeat struct {
+	beat     *beat.Beat
+	datagram []byte
+}
 
 type listedHosts struct{ hosts []mesh.Host }
 
@@ -129,6 +139,9 @@
 	switch e := e.(type) {
 	case heardBeat:
 		d.hear(ctx, now, e.beat)
+		if e.datagram != nil {
+			d.send(beat.Passed(e.datagram), d.state.Neighbours(now))
+		}
 	case announced:
 		d.announce(ctx, now, e)
 	case listedHosts:
@@ -244,9 +257,9 @@
 
 // beat sends a beat to the hosts to which one is due.
 func (d *memberDuty) beat(ctx context.Context, now time.Time) {
-	due := d.state.Due(now, d.urgent > 0)
+	direct, passing := d.state.Due(now, d.urgent > 0)
 	d.urgent = max(0, d.urgent-1)
-	if len(due) == 0 {
+	if len(direct)+len(passing) == 0 {
 		return
 	}
 	self := d.state.Self()
@@ -260,14 +273,36 @@
 			b.Rules = own.Rules.Version
 		}
 	}
+	d.tell(now, b, direct)
+	b.PassOn = true
+	d.tell(now, b, passing)
+}
+
+// tell sends a beat to hosts.
+func (d *memberDuty) tell(now time.Time, b *beat.Beat, to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
 	data, err := beat.Encode(now, b)
 	if err != nil {
 		d.log.Errorf("no beat was sent: %v.", err)
 		return
 	}
-	for _, addr := range due {
-		if _, err := d.socket.WriteToUDPAddrPort(data, addr); err == nil {
+	d.send(data, to)
+}
+
+// send sends a datagram to hosts. One that the socket refuses is as good as lost,
+// and the next one makes good for it; the first of a row is logged.
+func (d *memberDuty) send(data []byte, to []netip.AddrPort) {
+	for _, addr := range to {
+		_, err := d.socket.WriteToUDPAddrPort(data, addr)
+		switch {
+		case err == nil:
 			d.beats.Add(1)
+			d.refused = false
+		case !d.refused:
+			d.refused = true
+			d.log.Warnf("a beat to %v could not be sent: %v.", addr, err)
 		}
 	}
 }
@@ -305,7 +340,11 @@
 			d.log.Warnf("a datagram of %v is ignored: %v.", from, err)
 			continue
 		}
-		d.member.events.Offer(heardBeat{beat: b})
+		heard := heardBeat{beat: b}
+		if b.PassOn {
+			heard.datagram = bytes.Clone(buffer[:n])
+		}
+		d.member.events.Offer(heard)
 	}
 	return nil
 }
--- a/internal/mesh/beat/beat.go
+++ b/internal/mesh/beat/beat.go
@@ -2,6 +2,8 @@
 package beat
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -39,6 +41,23 @@
 
 	// OutDigest is a digest of the zones that these orders take out.
 	OutDigest uint64
+
+	// PassOn is true when the receiver passes the beat on to the hosts of its
+	// own zone.
+	PassOn bool
+}
+
+// The first byte of a datagram says whether its receiver passes it on.
+const (
+	markFinal  = 0
+	markPassOn = 1
+)
+
+// Passed returns the datagram with which a receiver passes a beat on.
+func Passed(data []byte) (passed []byte) {
+	passed = bytes.Clone(data)
+	passed[0] = markFinal
+	return passed
 }
 
 // message is a beat on the wire, without names to save bytes between zones.
@@ -89,7 +108,11 @@
 	for name, u := range b.Usage.Usage {
 		m.Usage[string(name)] = []int64{int64(u.Offered), int64(u.Admitted)}
 	}
-	return cbor.Marshal(m)
+	data, err = cbor.Marshal(m)
+	if b.PassOn {
+		return append([]byte{markPassOn}, data...), err
+	}
+	return append([]byte{markFinal}, data...), err
 }
 
 // Decode returns the beat in a datagram. Whatever is wrong with it, nothing of
@@ -100,8 +123,11 @@
 			err = fmt.Errorf("beat of %d bytes: %w", len(data), err)
 		}
 	}()
+	if len(data) == 0 || data[0] > markPassOn {
+		return nil, errors.New("the first byte is no mark")
+	}
 	var m message
-	if err := cbor.Unmarshal(data, &m); err != nil {
+	if err := cbor.Unmarshal(data[1:], &m); err != nil {
 		return nil, err
 	}
 	addr, err := netip.ParseAddrPort(m.Addr)
@@ -121,6 +147,7 @@
 		},
 		Usage: quota.Report{From: addr, Incarnation: mesh.Incarnation(m.Incarnation)},
 		AsOf:  m.AsOf, Rules: m.Rules, OutDigest: m.OutDigest, Known: m.Known,
+		PassOn: data[0] == markPassOn,
 	}
 	if b.Host.Targets, err = decodeTargets(now, m.Targets); err != nil {
 		return nil, err
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -33,6 +33,13 @@
 	// costs little and finds it again when it returns.
 	rareBeat = 2 * time.Second
 
+	// relayFrom is the number of hosts from which on a zone passes the beats of
+	// other zones on among its own hosts, and contacts how many of them get
+	// each beat. Bytes between zones are dear, and two lost datagrams in a row
+	// are rare.
+	relayFrom = 8
+	contacts  = 2
+
 	// maxRemoteLife is how long a silent host keeps its row. Its demand is
 	// reserved meanwhile, in case it lives behind a cut.
 	maxRemoteLife = 10 * time.Minute
@@ -54,10 +61,22 @@
 	// out holds the zones that operators have taken out.
 	out map[mesh.ZoneName]bool
 
+	// relays says for each zone when its contacts were last sent a beat.
+	relays map[mesh.ZoneName]*relay
+
 	// reports holds what was last heard of each target of this host.
 	reports map[string]lastReport
 }
 
+// relay is how this host reaches a zone that passes beats on.
+type relay struct {
+	told time.Time
+
+	// turn is the place of the next contact among the hosts of the zone. It
+	// moves on with each beat, so that a dead contact costs few of them.
+	turn uint64
+}
+
 // lastReport orders the reports of one target. The incarnation goes before the
 // sequence.
 type lastReport struct {
@@ -99,16 +118,16 @@
 
 // New returns the state of a node that knows only its own host.
 func New(self mesh.Host) (s *State) {
-	return &State{self: self, hosts: make(map[netip.AddrPort]*host), out: make(map[mesh.ZoneName]bool), reports: make(map[string]lastReport)}
+	return &State{self: self, hosts: make(map[netip.AddrPort]*host), out: make(map[mesh.ZoneName]bool), relays: make(map[mesh.ZoneName]*relay), reports: make(map[string]lastReport)}
 }
 
 // Self returns this node's own host as others should see it.
 func (s *State) Self() (self mesh.Host) { return s.self }
 
-// interval returns the time between two beats to a host that answers.
-func (s *State) interval(to *host) (d time.Duration) {
+// interval returns the time between two beats to a host of the zone.
+func (s *State) interval(to mesh.ZoneName) (d time.Duration) {
 	d = max(shortBeat, time.Duration(len(s.hosts))*beatPerHost)
-	if to.Zone != s.self.Zone {
+	if to != s.self.Zone {
 		d = time.Duration(farBeats * float64(d))
 	}
 	return d
@@ -228,18 +247,74 @@
 	}
 }
 
-// Due returns the hosts to which a beat is due and notes that they get one.
-// All hosts are due when urgent, as after a change that keeps work away.
-func (s *State) Due(now time.Time, urgent bool) (addrs []netip.AddrPort) {
+// Due returns the hosts to which a beat is due and notes that they get one. Those
+// of passing pass it on to the hosts of their zone. All hosts are due when
+// urgent, as after a change that keeps work away.
+func (s *State) Due(now time.Time, urgent bool) (direct, passing []netip.AddrPort) {
+	crowded := s.crowded(now)
 	for addr, h := range s.hosts {
-		wait := s.interval(h)
-		if s.silent(now, h) {
+		wait := s.interval(h.Zone)
+		switch {
+		case s.silent(now, h):
 			wait = rareBeat
+		case crowded[h.Zone] != nil && !urgent:
+			continue
 		}
-		// A beat that comes a little early keeps beats aligned, which saves
-		// wake-ups.
-		if urgent || now.Sub(h.told) >= wait-wait/10 {
+		if urgent || due(now, h.told, wait) {
 			h.told = now
+			direct = append(direct, addr)
+		}
+	}
+	if urgent {
+		return direct, nil
+	}
+	for zone, addrs := range crowded {
+		passing = append(passing, s.contacts(now, zone, addrs)...)
+	}
+	return direct, passing
+}
+
+// due reports whether it is time again. A beat that comes a little early keeps
+// beats aligned, which saves wake-ups.
+func due(now, last time.Time, wait time.Duration) bool { return now.Sub(last) >= wait-wait/10 }
+
+// crowded returns the hosts of the other zones that pass beats on.
+func (s *State) crowded(now time.Time) (zones map[mesh.ZoneName][]netip.AddrPort) {
+	zones = make(map[mesh.ZoneName][]netip.AddrPort)
+	for addr, h := range s.hosts {
+		if h.Zone != s.self.Zone && !s.silent(now, h) {
+			zones[h.Zone] = append(zones[h.Zone], addr)
+		}
+	}
+	maps.DeleteFunc(zones, func(_ mesh.ZoneName, addrs []netip.AddrPort) bool { return len(addrs) < relayFrom })
+	return zones
+}
+
+// contacts returns the hosts of a zone that get the next beat, if it is due.
+func (s *State) contacts(now time.Time, zone mesh.ZoneName, addrs []netip.AddrPort) (chosen []netip.AddrPort) {
+	r := s.relays[zone]
+	if r == nil {
+		// Hosts start at different times, so they begin with different contacts.
+		r = &relay{turn: uint64(s.self.Incarnation)}
+		s.relays[zone] = r
+	}
+	if !due(now, r.told, s.interval(zone)) {
+		return nil
+	}
+	r.told = now
+	slices.SortFunc(addrs, netip.AddrPort.Compare)
+	for range contacts {
+		chosen = append(chosen, addrs[r.turn%uint64(len(addrs))])
+		r.turn++
+	}
+	return chosen
+}
+
+// Neighbours returns the other hosts of this host's zone that are not silent,
+// which are passed the beats of other zones.
+func (s *State) Neighbours(now time.Time) (addrs []netip.AddrPort) {
+	for addr, h := range s.hosts {
+		if h.Zone == s.self.Zone && !s.silent(now, h) {
 			addrs = append(addrs, addr)
 		}
 	}
@@ -259,7 +334,7 @@
 }
 
 func (s *State) silent(now time.Time, h *host) bool {
-	return h.heard.IsZero() || now.Sub(h.heard) > missedBeats*s.interval(h)+shortBeat
+	return h.heard.IsZero() || now.Sub(h.heard) > missedBeats*s.interval(h.Zone)+shortBeat
 }
 
 // View returns the fleet as it is now.
