retry: repeats of requests above are counted, and what matters more goes first

Cause: half of the allowed repeats of calls was kept back for repeats that no node saw.

Change: a call inherits from its request that it is a repeat, and counts against the budget of the node that sends it, so calls use 0.85 of the ratio. A call whose request is not known uses 0.5 as before. What more important calls asked for in the last two seconds is reserved for them. Requests of callers use 0.35 of their ratio, not 0.15.

Test: TestChainBudgets plays a chain of three services that all refuse: repeats of each stay inside ratio and slack, and important requests are served more often. TestBudgets marks its call as one.

Also: an unreadable cold time, load or wait gets a log line, and a target whose cold time cannot be read is taken for cold (TestStatus).

--- a/internal/mesh/agent/probe.go
+++ b/internal/mesh/agent/probe.go
@@ -74,7 +74,11 @@
 		return
 	}
 	defer answer.Body.Close()
-	status := d.dialect.Status(answer.Status, answer.Header)
+	status, err := d.dialect.Status(answer.Status, answer.Header)
+	if err != nil {
+		d.log.Warnf("the target is taken for cold: %v.", err)
+		status.ColdLeft = service.ColdTime
+	}
 	if !status.Healthy {
 		d.log.Infof("the target takes no work by its status check (%d).", answer.Status)
 		return
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -89,6 +89,7 @@
 		return false
 	}
 	call.Attempts--
+	call.Repeat = true
 	return true
 }
 
@@ -177,8 +178,10 @@
 func (f *front) takeAnswer(r *link.Response) (answer *mesh.Answer, refusal *mesh.Refusal) {
 	outcome := header.OutcomeValue(first(r.Header, header.Outcome))
 	if outcome == header.Ran {
-		// A load that cannot be read says nothing; zero stands for that.
-		load, _ := strconv.Atoi(first(r.Header, header.Load))
+		load, err := strconv.Atoi(first(r.Header, header.Load))
+		if err != nil {
+			f.log.Warnf("the load that the node of a target states is taken for none: %v.", err)
+		}
 		return &mesh.Answer{Status: r.Status, Header: r.Header, Body: r.Body, Length: r.Length, Load: load}, nil
 	}
 	defer r.Body.Close()
@@ -187,9 +190,11 @@
 		return nil, mesh.Unknown(header.AnswerLost, "the node of the target answered %d without an outcome", r.Status)
 	}
 	refusal = &mesh.Refusal{Code: code, Outcome: outcome, Message: first(r.Header, reasonHeader)}
-	if milliseconds, err := strconv.Atoi(first(r.Header, waitHeader)); err == nil {
-		refusal.RetryAfter = time.Duration(milliseconds) * time.Millisecond
+	milliseconds, err := strconv.Atoi(first(r.Header, waitHeader))
+	if err != nil {
+		f.log.Warnf("the wait that the node of a target states is taken for none: %v.", err)
 	}
+	refusal.RetryAfter = time.Duration(milliseconds) * time.Millisecond
 	return nil, refusal
 }
 
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -189,6 +189,9 @@
 	// Deeper is true for a call that a target makes for a request that it runs.
 	Deeper bool
 
+	// Orphan is true for a deeper call whose request is not known.
+	Orphan bool
+
 	// Origin is the organisation whose request a deeper call belongs to. It is
 	// empty where that is not known, and no target is told of it.
 	Origin OrganisationName
--- a/internal/mesh/dialect.go
+++ b/internal/mesh/dialect.go
@@ -64,8 +64,8 @@
 	Judge(status int, h Headers) (v Verdict)
 
 	// Status reads the status and headers of a target's answer to a status
-	// check.
-	Status(status int, h Headers) (s TargetStatus)
+	// check. An error says which of them cannot be read; the rest is valid.
+	Status(status int, h Headers) (s TargetStatus, err error)
 
 	// Refuse sets the headers of a refusal and returns its status. A status
 	// that promises that the request did not run is used only for a refusal
--- a/internal/mesh/retry/budget.go
+++ b/internal/mesh/retry/budget.go
@@ -11,11 +11,21 @@
 	budgetSlots = 20
 
 	// callPart is the part of the allowed ratio that a node uses for calls of
-	// targets, and entryPart that for requests of callers. The calls of a
-	// repeated request count as repeats at every service below it, which no
-	// node sees, so repeats at the entry are the dearest and get the least.
-	callPart  = 0.5
-	entryPart = 0.15
+	// targets. The calls of a repeated request count as repeats at every
+	// service below it, and each node counts those that its target makes.
+	callPart = 0.85
+
+	// recentSlots is over how many steps it is counted how many repeats the
+	// calls of each importance want. A service starts to fail within seconds.
+	recentSlots = 4
+
+	// orphanPart is the part for calls whose requests are not known, so that
+	// repeats of these are not counted.
+	orphanPart = 0.5
+
+	// entryPart is the part for requests of callers. Their repeats use up the
+	// budgets of all services below.
+	entryPart = 0.35
 )
 
 // Budgets bounds the repeats to each service over all hosts without asking
@@ -42,6 +52,19 @@
 	at       time.Time
 	requests [budgetSlots]float64
 	repeats  [budgetSlots]float64
+
+	// wanted and given hold, by importance, the repeats that were asked for and
+	// those that were allowed; given is at most wanted in each.
+	wanted, given [importances][budgetSlots]float64
+}
+
+// importances is the number of different importances.
+const importances = mesh.ClassCount * mesh.RankCount
+
+// importance returns the place of a call in the order of importance. Lower ones
+// go first.
+func importance(call *mesh.Call) (i int) {
+	return int(min(call.Class, mesh.ClassLow))*mesh.RankCount + int(min(call.Rank, mesh.RankCount-1))
 }
 
 // NewBudgets returns the budgets of one node. In each window, all hosts may
@@ -53,23 +76,55 @@
 // SetHosts sets how many hosts share the slack.
 func (b *Budgets) SetHosts(n int) { b.hosts = max(1, n) }
 
-// Called counts a request.
-func (b *Budgets) Called(now time.Time, call *mesh.Call) { b.counts(now, call).requests[0]++ }
+// Called counts a request. One that belongs to a repeated request is a repeat.
+func (b *Budgets) Called(now time.Time, call *mesh.Call) {
+	c := b.counts(now, call)
+	c.requests[0]++
+	if call.Repeat {
+		c.repeats[0]++
+	}
+}
 
-// Repeat takes one repeat of a request, or reports false.
+// part returns the part of the allowed ratio that a call may use.
+func part(call *mesh.Call) (part float64) {
+	switch {
+	case !call.Deeper:
+		return entryPart
+	case call.Orphan:
+		return orphanPart
+	default:
+		return callPart
+	}
+}
+
+// Repeat takes one repeat of a request, or reports false. What more important
+// requests want goes first: a chain needs all of its calls, so repeats for some
+// chains serve more of them than a few repeats for each.
 func (b *Budgets) Repeat(now time.Time, call *mesh.Call) (allowed bool) {
 	c := b.counts(now, call)
-	part := entryPart
-	if call.Deeper {
-		part = callPart
-	}
-	if sum(c.repeats)+1 > part*(b.ratio*sum(c.requests)+b.slack/float64(b.hosts)) {
+	i := importance(call)
+	c.wanted[i][0]++
+	if sum(c.repeats)+c.reserved(i)+1 > part(call)*(b.ratio*sum(c.requests)+b.slack/float64(b.hosts)) {
 		return false
 	}
 	c.repeats[0]++
+	c.given[i][0]++
 	return true
 }
 
+// reserved returns how many more repeats the calls that are more important than
+// the given importance will want in a window.
+func (c *serviceCounts) reserved(importance int) (n float64) {
+	for i := range importance {
+		recent := 0.0
+		for _, w := range c.wanted[i][:recentSlots] {
+			recent += w
+		}
+		n += max(0, recent*budgetSlots/recentSlots-sum(c.given[i]))
+	}
+	return n
+}
+
 func sum(counts [budgetSlots]float64) (total float64) {
 	for _, n := range counts {
 		total += n
@@ -93,9 +148,18 @@
 	}
 	for range steps {
 		c.at = c.at.Add(slot)
-		copy(c.requests[1:], c.requests[:budgetSlots-1])
-		copy(c.repeats[1:], c.repeats[:budgetSlots-1])
-		c.requests[0], c.repeats[0] = 0, 0
+		shift(&c.requests)
+		shift(&c.repeats)
+		for i := range importances {
+			shift(&c.wanted[i])
+			shift(&c.given[i])
+		}
 	}
 	return c
 }
+
+// shift begins a new slot.
+func shift(counts *[budgetSlots]float64) {
+	copy(counts[1:], counts[:budgetSlots-1])
+	counts[0] = 0
+}
