route: a failed link to the only target is probed by any call, and waited for

Cause: after a connection could not be opened, a call that may not run twice waited a second longer than others before it probed the link, and while no other target was left it was refused at once.

Ruled out: the draining target (it refuses before it sends, and the request goes on), silent beats (the view keeps silent targets that are the only ones).

Change: for want of another link, one call of any kind probes a link that could not be reached, at the end of its pause; the others wait for that once, at most 0.25 s. Links that lost answers still get only calls that may run twice.

Test: TestOnlyLink.

--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -19,11 +19,15 @@
 // before they send it to their target cost no attempt.
 const maxHops = 5
 
+// maxPause is the longest time for which a call waits for a link that may be
+// probed again. It covers the pause after one or two failures of a link.
+const maxPause = 250 * time.Millisecond
+
 // relay takes a call to a target and repeats it where that is allowed.
 func (f *front) relay(ctx context.Context, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
 	var tried []netip.AddrPort
 	for range maxHops {
-		to, failure := f.choose(ctx, call, tried)
+		to, failure := f.chooseSoon(ctx, call, tried)
 		if failure != nil {
 			return nil, final(refusal, failure)
 		}
@@ -41,6 +45,19 @@
 	return nil, refusal
 }
 
+// chooseSoon returns the target of the next attempt. When all links to its
+// service have just failed, the call waits once until one may be probed.
+func (f *front) chooseSoon(ctx context.Context, call *mesh.Call, tried []netip.AddrPort) (to mesh.Endpoint, refusal *mesh.Refusal) {
+	to, refusal = f.choose(ctx, call, tried)
+	if refusal == nil || refusal.Code != header.NoTarget || refusal.RetryAfter == 0 || refusal.RetryAfter > maxPause {
+		return to, refusal
+	}
+	if !wait(ctx, refusal.RetryAfter) {
+		return to, refusal
+	}
+	return f.choose(ctx, call, tried)
+}
+
 // choose returns the target of the next attempt. The key is looked up again,
 // since it may have been withdrawn meanwhile.
 func (f *front) choose(ctx context.Context, call *mesh.Call, tried []netip.AddrPort) (to mesh.Endpoint, refusal *mesh.Refusal) {
--- a/internal/mesh/route/links.go
+++ b/internal/mesh/route/links.go
@@ -69,6 +69,10 @@
 	// loadAt is when Load was reported.
 	loadAt time.Time
 
+	// unreached is true when the last failure was a connection that could not
+	// be opened.
+	unreached bool
+
 	// probeAt is when a call went out to probe the failed link, zero while
 	// none is on its way.
 	probeAt time.Time
@@ -142,6 +146,20 @@
 	return !waits && !now.Before(due), true
 }
 
+// lastResort reports whether any call may probe a failed link for want of another
+// one, and otherwise when it may. Where connections cannot be opened, a call that
+// may not run twice loses nothing.
+func (s *state) lastResort(now time.Time) (allowed bool, after time.Duration) {
+	waits := !s.probeAt.IsZero() && now.Sub(s.probeAt) < probeLife
+	switch {
+	case s.Failures == 0 || !s.unreached:
+		return false, 0
+	case waits:
+		return false, linkRetry
+	}
+	return !now.Before(s.RetryAt), max(0, s.RetryAt.Sub(now))
+}
+
 // level returns the least important class that the target accepts on a route.
 func (s *state) level(now time.Time, route string) (class mesh.Class) {
 	seen, found := s.levels[route]
@@ -180,6 +198,7 @@
 		// The call was under way when the link failed, so it shows the same
 		// failure once more.
 	case lost(r.Refusal.Code):
+		s.unreached = r.Refusal.Code == header.TargetUnreachable
 		s.Failures++
 		s.RetryAt = now.Add(min(maxLinkRetry, linkRetry<<min(s.Failures-1, 10)))
 	case away(r.Refusal.Code):
--- a/internal/mesh/route/route.go
+++ b/internal/mesh/route/route.go
@@ -71,6 +71,12 @@
 	// due is a failed link that waits for a probe.
 	due *candidate
 
+	// failed are links that could not be reached of late and may be probed for
+	// want of another one, and after is when the next of them may be; zero when
+	// none may soon.
+	failed []candidate
+	after  time.Duration
+
 	// level is the least important class that any target accepts.
 	level mesh.Class
 }
@@ -88,8 +94,14 @@
 		return p.probe(now, call, c)
 	case len(c.tried) > 0:
 		return p.lessLoaded(now, c.tried).Endpoint, nil
+	case len(c.failed) > 0:
+		probe := p.lessLoaded(now, c.failed)
+		probe.state.probeAt = now
+		return probe.Endpoint, nil
 	default:
-		return mesh.Endpoint{}, mesh.NotRun(header.NoTarget, "no target of service %q takes work now", call.RunsAt())
+		refusal = mesh.NotRun(header.NoTarget, "no target of service %q takes work now", call.RunsAt())
+		refusal.RetryAfter = c.after
+		return mesh.Endpoint{}, refusal
 	}
 }
 
@@ -109,6 +121,7 @@
 func (c *candidates) add(now time.Time, call *mesh.Call, from mesh.ZoneName, e candidate, tried bool) {
 	usable, probe := e.state.usable(now, call)
 	if !usable {
+		c.addFailed(now, e, tried)
 		return
 	}
 	level := e.state.level(now, call.Route.Name)
@@ -128,6 +141,19 @@
 	}
 }
 
+// addFailed adds a failed link that no call of the usual kind may probe now.
+func (c *candidates) addFailed(now time.Time, e candidate, tried bool) {
+	if tried {
+		return
+	}
+	switch allowed, after := e.state.lastResort(now); {
+	case allowed:
+		c.failed = append(c.failed, e)
+	case after > 0 && (c.after == 0 || after < c.after):
+		c.after = after
+	}
+}
+
 // side returns the targets of the own zone or those of the others. A zone that
 // returned takes over from the others as its share grows.
 func (p *NearTwo) side(now time.Time, c candidates) (side []candidate) {
--- a/internal/mesh/route/route_test.go
+++ b/internal/mesh/route/route_test.go
@@ -248,3 +248,33 @@
 		endpoints[0].Target.Incarnation++
 	}
 }
+
+// TestOnlyLink guards against a service that is refused for a second after one
+// connection to its only target could not be opened, because the calls may not
+// run twice.
+func TestOnlyLink(t *testing.T) {
+	endpoints := testEndpoints()[:1]
+	p := newPicker(endpoints)
+	r := refused(header.TargetUnreachable, mesh.ClassLow)
+	r.To = endpoints[0]
+	p.Report(testStart, r)
+	call := testCall(0)
+	call.Route.Idempotent = false
+	early := testStart.Add(linkRetry / 4)
+	_, refusal := p.Pick(early, call, "near", endpoints, nil)
+	if refusal == nil || refusal.Code != header.NoTarget || refusal.RetryAfter != testStart.Add(linkRetry).Sub(early) {
+		t.Errorf("before the time of the link: got %+v, want a refusal until then", refusal)
+	}
+	if _, refusal := p.Pick(testStart.Add(linkRetry), call, "near", endpoints, nil); refusal != nil {
+		t.Errorf("at the time of the link: got %v, want a choice", refusal)
+	}
+	if _, refusal := p.Pick(testStart.Add(linkRetry), call, "near", endpoints, nil); refusal == nil {
+		t.Error("while a probe is under way: got a choice, want a refusal")
+	}
+	lost := refused(header.AnswerLost, mesh.ClassLow)
+	lost.To = endpoints[0]
+	p.Report(testStart.Add(linkRetry), lost)
+	if _, refusal := p.Pick(testStart.Add(4*linkRetry), call, "near", endpoints, nil); refusal == nil {
+		t.Error("after a lost answer: got a choice, want a refusal, since the call may run twice")
+	}
+}
