quota: little is used after a start until the demand is known

Cause: after all nodes were killed, each used its part of the rate at once. A host's first report, which does not show when its requests came, also counted as a demand of nothing and opened the buckets.

Ruled out: the surge alone (TestOverRate 'sudden').

Change: for half a second after a start 0.4 of the rate is used, then a tenth, until most hosts have reported twice and the demand is below the rate.

TestAfterKill keeps its bound.

--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -55,6 +55,13 @@
 	startPart  = 0.4
 	startSlack = 28
 
+	// unknownPart is the part of the rate that is used for leastAge after a start,
+	// and surgePart afterwards while the demand is not known or above the rate:
+	// the allowance may have been used shortly before the start, and then none
+	// of it leaves the window for seconds.
+	unknownPart = 0.4
+	surgePart   = 0.1
+
 	// tightBurst is the part of a node's burst that its bucket holds while most
 	// of the allowance is used.
 	tightBurst = 0.1
@@ -140,7 +147,11 @@
 type remote struct {
 	incarnation mesh.Incarnation
 	heard       time.Time
-	usage       map[mesh.OrganisationName]*remoteUsage
+
+	// reports is how many reports of this incarnation arrived. The first one
+	// does not show when its requests came.
+	reports int
+	usage   map[mesh.OrganisationName]*remoteUsage
 }
 
 type remoteUsage struct {
@@ -232,9 +243,6 @@
 		if changed {
 			b.resize(now, a)
 		}
-		if !found {
-			a.tokens = 1
-		}
 	}
 	maps.DeleteFunc(b.accounts, func(name mesh.OrganisationName, _ *account) bool { return !named[name] })
 }
@@ -249,7 +257,6 @@
 	for _, a := range b.accounts {
 		a.share(b.known)
 		b.resize(now, a)
-		a.tokens = 1
 	}
 }
 
@@ -276,6 +283,7 @@
 		b.hosts[r.From] = h
 	}
 	h.heard = now
+	h.reports++
 	for name, used := range r.Usage {
 		if h.usage[name] == nil {
 			// The first report says nothing about when the requests came.
@@ -365,6 +373,9 @@
 	requests := a.offered.total(slots)
 	heard := 1
 	for _, h := range b.hosts {
+		if h.reports < 2 {
+			continue
+		}
 		heard++
 		if u := h.usage[a.contract.Organisation]; u != nil {
 			requests += u.offered.total(slots)
@@ -418,8 +429,13 @@
 		// What was admitted before the start of this node is not known. At
 		// worst it was the whole allowance, which leaves the window by its mean
 		// rate. An organisation that asks for less than its rate cannot use more.
-		a.rate, a.capacity = part*a.contract.Rate, part*a.contract.Burst*tightBurst
-		if offered, known := b.offered(now, a); known && offered <= a.contract.Rate {
+		a.capacity = 1
+		switch offered, known := b.offered(now, a); {
+		case !known && now.Sub(a.since) < leastAge:
+			a.rate = unknownPart * part * a.contract.Rate
+		case !known || offered > a.contract.Rate:
+			a.rate = surgePart * part * a.contract.Rate
+		default:
 			a.rate, a.capacity = share*a.allowance()/window.Seconds(), share*(startPart*a.allowance()+startSlack)
 		}
 	case room > 0:
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -327,6 +328,51 @@
 	}
 }
 
+// TestKillAfterSurge guards against an organisation that uses its allowance within
+// a few seconds and again after all nodes were killed, before any of it has left
+// the window.
+func TestKillAfterSurge(t *testing.T) {
+	for _, c := range []struct {
+		hosts int
+		rate  float64
+		surge time.Duration
+	}{
+		{16, 91, 3 * time.Second},
+		{16, 91, time.Second},
+		{13, 254, 3 * time.Second},
+		{13, 254, time.Second},
+		{65, 431, 3 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%d hosts, rate %g, surge of %v", c.hosts, c.rate, c.surge), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(6) {
+				r := newRig(seed, c.hosts, 0, mesh.Contract{Organisation: "a", Rate: c.rate, Burst: c.rate})
+				r.run(window)
+				for _, h := range r.hosts {
+					h.demand = 0.6 * c.rate / float64(c.hosts)
+				}
+				r.run(time.Second)
+				for _, h := range r.hosts {
+					h.demand *= 6
+				}
+				r.run(c.surge)
+				for _, h := range r.hosts {
+					h.down = true
+				}
+				r.run(500 * time.Millisecond)
+				for _, h := range r.hosts {
+					h.down = false
+					r.restart(h)
+				}
+				r.run(6 * time.Second)
+				if got, want := r.most(), r.bound(); got > want {
+					t.Errorf("seed %d: got %d requests in a window of %v, want at most %d", seed, got, window, want)
+				}
+			}
+		})
+	}
+}
+
 // TestUnknownHosts guards against a node that starts and takes a whole contract
 // for itself until it has read the list of hosts.
 func TestUnknownHosts(t *testing.T) {
