--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -426,9 +426,8 @@
 	room := widePart*a.allowance() - a.admitted.total(slots) - a.others
 	switch {
 	case now.Sub(a.since) < window:
-		// What was admitted before the start of this node is not known. At
-		// worst it was the whole allowance, which leaves the window by its mean
-		// rate. An organisation that asks for less than its rate cannot use more.
+		// What was admitted before the start of this node is not known. An
+		// organisation that asks for less than its rate cannot use too much.
 		a.capacity = 1
 		switch offered, known := b.offered(now, a); {
 		case !known && now.Sub(a.since) < leastAge:
