--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -206,6 +206,8 @@
 		{"small", 16, 12, func(*rig) {}, 0},
 		{"many hosts", 65, 60, func(*rig) {}, 0},
 		{"many hosts, large", 65, 431, func(*rig) {}, 0},
+		{"small, few asked", 16, 30, func(*rig) {}, 5},
+		{"small, some asked", 16, 30, func(*rig) {}, 9},
 		{"many hosts, small", 65, 12, func(*rig) {}, 0},
 		{"many hosts, small, few asked", 65, 12, func(*rig) {}, 6},
 		{"many hosts, few asked", 65, 60, func(*rig) {}, 6},
