quota: between two reports a surge is taken to go on

Cause: what other hosts admitted since their last report was counted at the mean rate of the window. In a surge they admit several times as much, so the hosts came to the allowance half a second of the surge too late.

Change: the admissions of a host that reported within a second are counted on at its rate of the last 0.75 s, when that is above the mean.

--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -28,6 +28,9 @@
 	// buckets are wide.
 	widePart = 0.9
 
+	// surgeSlots is how many slots a surge is measured over: about two reports.
+	surgeSlots = 3
+
 	// silence is after which time a host that has not reported may be behind a
 	// cut, and silentPart how much more it is taken to admit then: both sides
 	// of a cut overshoot the allowance by what they admit between two reports.
@@ -170,8 +173,9 @@
 	assumed counts
 	newer   int
 
-	// rate is what the host is taken to go on with, in requests a second.
-	rate float64
+	// rate is what the host is taken to go on with, in requests a second, and
+	// latest what it sent in the surgeSlots before its last report.
+	rate, latest float64
 }
 
 // next begins a new slot.
@@ -182,6 +186,12 @@
 	e.newer = min(e.newer+1, slots-1)
 }
 
+// rise returns what a host is likely to have sent since its report, the given
+// time ago, beyond what was assumed: in a surge it sends more than on average.
+func (e *estimate) rise(age time.Duration) (requests float64) {
+	return max(0, e.latest-e.rate) * age.Seconds()
+}
+
 // report puts the requests that were reported in place of the assumed ones,
 // spread over the slots since the last report. A correction in the newest slot
 // alone would outlive the assumptions that it makes good.
@@ -306,6 +316,7 @@
 		// Admissions stop and go near the limit, so only their mean over the
 		// window tells what the host goes on with.
 		u.offered.rate, u.admitted.rate = u.offered.perSecond(), u.admitted.total(slots)/window.Seconds()
+		u.admitted.latest = u.admitted.total(surgeSlots) / (surgeSlots * slot.Seconds())
 	}
 }
 
@@ -413,8 +424,10 @@
 			continue
 		}
 		admitted := u.admitted.total(slots)
-		if now.Sub(h.heard) > silence {
+		if age := now.Sub(h.heard); age > silence {
 			admitted += silentPart * admitted
+		} else {
+			admitted += u.admitted.rise(age)
 		}
 		a.others += admitted
 	}
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -330,6 +330,27 @@
 	}
 }
 
+// TestSurgeOfSmall guards against a small organisation that uses little of its
+// allowance and then surges faster than the hosts hear of each other.
+func TestSurgeOfSmall(t *testing.T) {
+	for seed := range uint64(40) {
+		const rate = 30
+		r := newRig(seed, 16, 0, mesh.Contract{Organisation: "a", Rate: rate, Burst: rate})
+		r.run(window)
+		for _, h := range r.hosts {
+			h.demand = 10.0 / 16
+		}
+		r.run(3 * time.Second)
+		for _, h := range r.hosts {
+			h.demand = 170.0 / 16
+		}
+		r.run(4 * time.Second)
+		if got, want := r.most(), r.bound(); got > want {
+			t.Errorf("seed %d: got %d requests in a window of %v, want at most %d", seed, got, window, want)
+		}
+	}
+}
+
 // TestKillAfterSurge guards against an organisation that uses its allowance within
 // a few seconds and again after all nodes were killed, before any of it has left
 // the window.
