agent, node: tell a caller that left from a deadline, and log how late an answer is

A caller that left has a code of its own (caller-left), refusals carry overrun-ms, the metrics have a histogram of the time by which answers miss their deadlines, the node of the target logs calls that it stops because the sending node closed the connection, and a node whose timers fire over 250 ms late says so.

--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -233,9 +233,12 @@
 	if call.Route != nil {
 		m.Route = call.Route.Name
 	}
+	if !call.Deadline.IsZero() {
+		m.Overrun = time.Since(call.Deadline)
+	}
 	if refusal != nil {
 		m.Outcome, m.Code = refusal.Outcome, refusal.Code
-		rh.logRefusal(call, refusal, m.Latency)
+		rh.logRefusal(call, refusal, m)
 	}
 	rh.meter.Record(m)
 	if refusal != nil {
@@ -261,10 +264,13 @@
 }
 
 // logRefusal logs the reason why a request was refused.
-func (rh *requestHandler) logRefusal(call *mesh.Call, refusal *mesh.Refusal, latency time.Duration) {
+func (rh *requestHandler) logRefusal(call *mesh.Call, refusal *mesh.Refusal, m meter.Measurement) {
 	fields := logs.Fields{
 		"request": call.CallerRequestID, "outcome": refusal.Outcome, "code": refusal.Code, "reason": refusal.Message,
-		"organisation": call.Organisation, "class": call.Class.String(), "latency-ms": latency.Milliseconds(),
+		"organisation": call.Organisation, "class": call.Class.String(), "latency-ms": m.Latency.Milliseconds(),
+	}
+	if m.Overrun > 0 {
+		fields["overrun-ms"] = m.Overrun.Milliseconds()
 	}
 	if call.Route != nil {
 		fields["route"], fields["service"] = call.Route.Name, call.TargetService()
--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -23,6 +23,9 @@
 	// memberTick is the interval at which the member duty checks for due heartbeats.
 	memberTick = 100 * time.Millisecond
 
+	// loggedLag is the delay of a timer above which it is logged.
+	loggedLag = 250 * time.Millisecond
+
 	// broadcastRounds is how many times a change that stops traffic to a target or host is
 	// sent to all hosts at once, since datagrams can be lost.
 	broadcastRounds = 3
@@ -127,6 +130,9 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			if lag := time.Since(d.lastTick) - memberTick; !d.lastTick.IsZero() && lag > loggedLag {
+				d.log.InfoFields("timers run late", logs.Fields{"lag-ms": lag.Milliseconds()})
+			}
 			d.tick(ctx, now)
 		case e := <-d.events.Events():
 			d.handle(ctx, time.Now(), e)
--- a/internal/mesh/agent/quota.go
+++ b/internal/mesh/agent/quota.go
@@ -74,7 +74,7 @@
 	case e := <-reply.Events():
 		return e.(admitReply).refusal
 	case <-ctx.Done():
-		return mesh.NotRun(header.DeadlineExceeded, "the deadline passed or the caller disconnected before the request was admitted")
+		return mesh.Interrupted(ctx.Err(), header.NotRun, "before the request was admitted")
 	}
 }
 
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -182,11 +182,11 @@
 	contextDone := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 	switch {
 	case contextDone && !sent:
-		return mesh.NotRun(header.DeadlineExceeded, "the deadline passed or the caller disconnected before the request was sent to the %s", what)
+		return mesh.Interrupted(err, header.NotRun, "before the request was sent to the "+what)
 	case !sent:
 		return mesh.NotRun(header.TargetUnreachable, "the %s is unreachable: %s", what, link.Describe(err))
 	case contextDone:
-		return mesh.Unknown(header.DeadlineExceeded, "the deadline passed or the caller disconnected while the request was running")
+		return mesh.Interrupted(err, header.Unknown, "while the request was running")
 	default:
 		return mesh.Unknown(header.AnswerLost, "the answer of the %s was lost: %s", what, link.Describe(err))
 	}
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -11,6 +11,7 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/gate"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
@@ -39,6 +40,9 @@
 	defer cancel()
 	answer, refusal := rh.runLocally(ctx, call, target, newPayload(r, body))
 	if refusal != nil {
+		if refusal.Code == header.CallerLeft {
+			rh.logStopped(r.RemoteAddr, call, refusal)
+		}
 		writePeerRefusal(c.Response().Header(), call.CallerRequestID, refusal)
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
@@ -49,6 +53,15 @@
 	return rh.writeAnswer(c, answer)
 }
 
+// logStopped logs a call whose sender closed the connection. The sender's log does not say
+// when this node noticed.
+func (rh *requestHandler) logStopped(from string, call *mesh.Call, refusal *mesh.Refusal) {
+	rh.log.InfoFields("the sending node disconnected", logs.Fields{
+		"request": call.CallerRequestID, "from": from, "outcome": refusal.Outcome, "reason": refusal.Message,
+		"left-ms": call.Remaining(time.Now()).Milliseconds(),
+	})
+}
+
 // runLocally runs a call at the target on this host.
 func (rh *requestHandler) runLocally(ctx context.Context, call *mesh.Call, target string, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
 	in := rh.gate.Enter(ctx, call, target)
@@ -63,7 +76,7 @@
 	if refusal != nil {
 		finished.Overloaded = refusal.Code == header.TargetRefused
 		finished.Unreachable = refusal.Code == header.TargetUnreachable
-		finished.TimedOut = refusal.Outcome == header.Unknown && refusal.Code == header.DeadlineExceeded
+		finished.TimedOut = refusal.Outcome == header.Unknown && (refusal.Code == header.DeadlineExceeded || refusal.Code == header.CallerLeft)
 		// The latency of a lost answer carries no information about the target's load, as with
 		// a request that did not run.
 		finished.NotRun = !finished.Overloaded && !finished.Unreachable && !finished.TimedOut
--- a/internal/mesh/meter/meter.go
+++ b/internal/mesh/meter/meter.go
@@ -61,6 +61,10 @@
 	// Code is the refusal code; empty when the target answered.
 	Code    header.RefusalCode
 	Latency time.Duration
+
+	// Overrun is how long after its deadline the request was answered; zero or below when it
+	// was answered in time.
+	Overrun time.Duration
 }
 
 // EventName implements mesh.Event.
@@ -89,6 +93,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.histogram("class-" + m.Class.String()).RecordValue(m.Latency.Microseconds())
+	if m.Overrun > 0 {
+		d.histogram("overrun").RecordValue(m.Overrun.Microseconds())
+	}
 	if m.Route != "" {
 		d.histogram("route-" + m.Route).RecordValue(m.Latency.Microseconds())
 	}
--- a/internal/mesh/node/claim.go
+++ b/internal/mesh/node/claim.go
@@ -90,7 +90,7 @@
 	case <-ctx.Done():
 		// The claim may have been granted at the same moment.
 		_ = d.events.Send(context.Background(), releaseRequest{call: call, reply: ring.NewReply()})
-		return mesh.NotRun(header.DeadlineExceeded, "the deadline passed or the caller disconnected while the claim was written")
+		return mesh.Interrupted(ctx.Err(), header.NotRun, "while the claim was written")
 	}
 }
 
--- a/internal/mesh/node/contract_admit.go
+++ b/internal/mesh/node/contract_admit.go
@@ -41,7 +41,7 @@
 	case e := <-reply.Events():
 		return e.(admitAnswer).refusal
 	case <-ctx.Done():
-		return mesh.NotRun(header.DeadlineExceeded, "the deadline passed or the caller disconnected before the request was admitted")
+		return mesh.Interrupted(ctx.Err(), header.NotRun, "before the request was admitted")
 	}
 }
 
--- a/internal/mesh/node/exchange.go
+++ b/internal/mesh/node/exchange.go
@@ -179,11 +179,11 @@
 func exchangeRefusal(ctx context.Context, sent bool, err error, what string) (refusal *mesh.Refusal) {
 	switch {
 	case !sent && ctx.Err() != nil:
-		return mesh.NotRun(header.DeadlineExceeded, "the deadline passed or the caller disconnected before the request was sent to the %s", what)
+		return mesh.Interrupted(ctx.Err(), header.NotRun, "before the request was sent to the "+what)
 	case !sent:
 		return mesh.NotRun(header.TargetUnreachable, "the %s is unreachable", what)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return mesh.Unknown(header.DeadlineExceeded, "the deadline passed or the caller disconnected while the request was running")
+	case ctx.Err() != nil:
+		return mesh.Interrupted(ctx.Err(), header.Unknown, "while the request was running")
 	default:
 		return mesh.Unknown(header.AnswerLost, "the answer of the %s was lost: %v", what, err)
 	}
--- a/internal/mesh/node/gate.go
+++ b/internal/mesh/node/gate.go
@@ -116,7 +116,7 @@
 		return admission{ticket: ticket, level: answer.level, load: answer.load}, answer.refusal
 	case <-ctx.Done():
 		d.send(gateEvent{target: target, event: gate.Cancelled{Ticket: ticket}})
-		return a, mesh.NotRun(header.DeadlineExceeded, "the deadline passed or the caller disconnected while the request was queued for the target")
+		return a, mesh.Interrupted(ctx.Err(), header.NotRun, "while the request was queued for the target")
 	}
 }
 
--- a/internal/mesh/node/serve.go
+++ b/internal/mesh/node/serve.go
@@ -97,7 +97,7 @@
 		finished.Overloaded = refusal.Code == header.TargetRefused
 		finished.Unreachable = refusal.Code == header.TargetUnreachable
 		finished.TimedOut = refusal.Outcome == header.Unknown && refusal.Code == header.DeadlineExceeded
-		finished.AnswerLost = refusal.Code == header.AnswerLost
+		finished.AnswerLost = refusal.Code == header.AnswerLost || refusal.Outcome == header.Unknown && refusal.Code == header.CallerLeft
 		finished.NotRun = refusal.Outcome == header.NotRun && !finished.Overloaded
 		rh.gate.Leave(target, finished)
 		left, _ = rh.calls.Close(token)
--- a/internal/mesh/node/status.go
+++ b/internal/mesh/node/status.go
@@ -28,7 +28,7 @@
 		return http.StatusTooManyRequests
 	case header.AnswerLost:
 		return http.StatusBadGateway
-	case header.DeadlineExceeded:
+	case header.CallerLeft, header.DeadlineExceeded:
 		return http.StatusGatewayTimeout
 	default:
 		return http.StatusServiceUnavailable
--- a/internal/mesh/refuse.go
+++ b/internal/mesh/refuse.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -30,6 +32,16 @@
 	return fmt.Sprintf("%s (%s): %s", r.Code, r.Outcome, r.Message)
 }
 
+// Interrupted returns the refusal of a request whose context ended with err. The context of a
+// request is cancelled only when its caller closes the connection. doing says what the node
+// was doing.
+func Interrupted(err error, outcome header.OutcomeValue, doing string) (refusal *Refusal) {
+	if errors.Is(err, context.Canceled) {
+		return &Refusal{Code: header.CallerLeft, Outcome: outcome, Message: "the caller disconnected " + doing}
+	}
+	return &Refusal{Code: header.DeadlineExceeded, Outcome: outcome, Message: "the deadline passed " + doing}
+}
+
 // NotRun returns the refusal of a request of which no byte reached a target.
 func NotRun(code header.RefusalCode, format string, args ...any) (refusal *Refusal) {
 	return &Refusal{Code: code, Outcome: header.NotRun, Message: fmt.Sprintf(format, args...)}
--- a/pkg/header/code.go
+++ b/pkg/header/code.go
@@ -10,6 +10,7 @@
 	BodyBroken         RefusalCode = "body-broken"
 	BodyTooLarge       RefusalCode = "body-too-large"
 	CallEnded          RefusalCode = "call-ended"
+	CallerLeft         RefusalCode = "caller-left"
 	ClaimUnavailable   RefusalCode = "claim-unavailable"
 	DeadlineExceeded   RefusalCode = "deadline-exceeded"
 	KeyMalformed       RefusalCode = "key-malformed"
