accept: notice the close of a connection whatever was sent behind its request

An empty line, a part of the next request or a whole one behind a running request hides the close, and a whole next request is then run for nobody.

Considered: a server of our own on http.ReadRequest, which would also allow requests of a connection to run at the same time, but repeats the framing, limits and shutdown of net/http.

--- /dev/null
+++ b/internal/mesh/accept/accept_test.go
@@ -0,0 +1,147 @@
+package accept
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pipeListener accepts the connections that are sent to it. Its pipes let the tests run under
+// a paused clock.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l pipeListener) Accept() (c net.Conn, err error) {
+	select {
+	case c = <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l pipeListener) Close() (err error) {
+	close(l.closed)
+	return nil
+}
+
+func (l pipeListener) Addr() (a net.Addr) { return &net.TCPAddr{} }
+
+// startServer serves the handler over pipes until stop is called, and returns the caller's end
+// of one connection.
+func startServer(t *testing.T, h http.HandlerFunc) (caller net.Conn, stop func()) {
+	t.Helper()
+	l := pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	done := make(chan error, 1)
+	go func() { done <- Serve(s, l) }()
+	caller, accepted := net.Pipe()
+	l.conns <- accepted
+	return caller, func() {
+		_ = caller.Close()
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+		if got := <-done; !errors.Is(got, http.ErrServerClosed) {
+			t.Errorf("got %v, want %v", got, http.ErrServerClosed)
+		}
+		synctest.Wait()
+	}
+}
+
+func get(path string) (text string) { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+func write(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestCloseBehindOtherBytes guards against a request whose context outlives its connection
+// when the caller has sent more bytes behind the request.
+func TestCloseBehindOtherBytes(t *testing.T) {
+	for _, c := range []struct{ name, behind string }{
+		{"nothing", ""},
+		{"empty line", "\r\n"},
+		{"begun request", "GET /next HT"},
+		{"whole requests", strings.Repeat(get("/next"), 10)},
+		{"as much as is read ahead", strings.Repeat("x", (maxChunks-1)*chunkSize)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var paths []string
+				var ended time.Duration
+				caller, stop := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+					paths = append(paths, r.URL.Path)
+					started := time.Now()
+					if r.Context().Err() == nil {
+						<-r.Context().Done()
+						ended = time.Since(started)
+					}
+				})
+				write(t, caller, get("/first"))
+				synctest.Wait()
+				write(t, caller, c.behind)
+				time.Sleep(time.Second)
+				if err := caller.Close(); err != nil {
+					t.Fatal(err)
+				}
+				synctest.Wait()
+				stop()
+				if len(paths) == 0 || paths[0] != "/first" || ended != time.Second {
+					t.Errorf("got requests %v, the first cancelled after %v, want it after %v", paths, ended, time.Second)
+				}
+			})
+		})
+	}
+}
+
+// TestReadDeadline guards against a deadline that does not end a read, or that still holds
+// after it has been replaced.
+func TestReadDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller, accepted := net.Pipe()
+		defer caller.Close()
+		c := newConn(accepted)
+		c.cancel = func() {}
+		go c.receive()
+		defer c.Close()
+		for _, d := range []struct {
+			name     string
+			deadline time.Duration
+			want     error
+		}{
+			{"past", -time.Second, os.ErrDeadlineExceeded},
+			{"future", time.Second, os.ErrDeadlineExceeded},
+			{"past again", -time.Second, os.ErrDeadlineExceeded},
+			{"none", 0, nil},
+			{"far", time.Hour, nil},
+		} {
+			var at time.Time
+			if d.deadline != 0 {
+				at = time.Now().Add(d.deadline)
+			}
+			if err := c.SetReadDeadline(at); err != nil {
+				t.Fatal(err)
+			}
+			if d.want == nil {
+				go func() {
+					time.Sleep(time.Minute)
+					_, _ = io.WriteString(caller, "x")
+				}()
+			}
+			if _, err := c.Read(make([]byte, 1)); !errors.Is(err, d.want) {
+				t.Errorf("%s: got %v, want %v", d.name, err, d.want)
+			}
+		}
+	})
+}
--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/accept"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
@@ -236,7 +237,7 @@
 func addServer(group *run.Group, s *server) {
 	closed := make(chan struct{})
 	group.Add(func() error {
-		err := s.http.Serve(s.listener)
+		err := accept.Serve(s.http, s.listener)
 		if !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve %s: %w", s.name, err)
 		}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/accept"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/roster"
@@ -230,7 +231,7 @@
 func addServer(group *run.Group, s *server) {
 	closed := make(chan struct{})
 	group.Add(func() error {
-		err := s.http.Serve(s.listener)
+		err := accept.Serve(s.http, s.listener)
 		if !errors.Is(err, http.ErrServerClosed) {
 			return merry.Prependf(err, "serve %s", s.name)
 		}
