agent, node: count the timeout of a request from its arrival

Requests sent behind another on one connection were given the whole timeout again from the moment at which the one before was answered: three requests with a timeout of 1 s to an instance that hangs were answered after 1.0, 2.0 and 3.0 s, and each was handed to the instance.

accept.Arrived says when the last byte of the head of a request arrived; deadlines, latencies and the remaining time of a pass count from then, at callers' and peers' listeners of attach and node. A request whose time has passed while it waited is refused as not run.

Ruled out: late timers (the first request on each connection was on time).

--- a/internal/mesh/accept/accept_test.go
+++ b/internal/mesh/accept/accept_test.go
@@ -1,7 +1,9 @@
 package accept
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -105,6 +107,59 @@
 	}
 }
 
+// TestArrivalBehindAnotherRequest guards against a time of arrival that is that of another
+// request on the connection, or the end of the request before.
+func TestArrivalBehindAnotherRequest(t *testing.T) {
+	const work = 10 * time.Second
+	for _, c := range []struct {
+		name string
+
+		// texts are written a second apart.
+		texts []string
+		want  []time.Duration
+	}{
+		{"together", []string{get("/") + get("/") + get("/")}, []time.Duration{0, 0, 0}},
+		{"apart", []string{get("/"), get("/"), get("/")}, []time.Duration{0, time.Second, 2 * time.Second}},
+		{"two behind one", []string{get("/"), get("/") + get("/")}, []time.Duration{0, time.Second, time.Second}},
+		{"one behind two", []string{get("/") + get("/"), get("/")}, []time.Duration{0, 0, time.Second}},
+		{"in parts", []string{get("/") + get("/")[:9], get("/")[9:], get("/")}, []time.Duration{0, time.Second, 2 * time.Second}},
+		{"with a body", []string{"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nab", "c" + get("/"), get("/")}, []time.Duration{0, time.Second, 2 * time.Second}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var got []time.Duration
+				opened := time.Now()
+				caller, stop := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+					got = append(got, Arrived(r).Sub(opened))
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						t.Error(err)
+					}
+					time.Sleep(work)
+				})
+				for i, text := range c.texts {
+					if i > 0 {
+						time.Sleep(time.Second)
+					}
+					write(t, caller, text)
+					synctest.Wait()
+				}
+				answers := bufio.NewReader(caller)
+				for range c.want {
+					answer, err := http.ReadResponse(answers, nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					_ = answer.Body.Close()
+				}
+				stop()
+				if fmt.Sprint(got) != fmt.Sprint(c.want) {
+					t.Errorf("got arrivals after %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
+
 // TestReadDeadline guards against a deadline that does not end a read, or that still holds
 // after it has been replaced.
 func TestReadDeadline(t *testing.T) {
--- a/internal/mesh/accept/conn.go
+++ b/internal/mesh/accept/conn.go
@@ -1,6 +1,6 @@
 // Package accept serves HTTP over connections that are read all the time, not only between two
 // requests. The close of a remote end is noticed while a request runs, whatever was sent behind
-// that request.
+// that request, and each request is known with the time at which it arrived.
 package accept
 
 import (
@@ -22,7 +22,10 @@
 )
 
 // chunk is a piece of what a connection has received.
-type chunk struct{ data []byte }
+type chunk struct {
+	data    []byte
+	arrived time.Time
+}
 
 var buffers = sync.Pool{New: func() any { return new([chunkSize]byte) }}
 
@@ -47,6 +50,12 @@
 	// current is the chunk that Read delivers, and unread the rest of its data.
 	current chunk
 	unread  []byte
+
+	// headArrived is the arrival of the newest chunk that net/http has parsed.
+	headArrived time.Time
+
+	// requestArrived is when the last byte of the head of the current request arrived.
+	requestArrived time.Time
 }
 
 func newConn(c net.Conn) *conn {
@@ -62,7 +71,7 @@
 		n, err := c.Conn.Read(buffer[:])
 		if n > 0 {
 			select {
-			case c.chunks <- chunk{data: buffer[:n]}:
+			case c.chunks <- chunk{data: buffer[:n], arrived: time.Now()}:
 			case <-c.closed:
 				c.receiveErr = net.ErrClosed
 				return
@@ -84,6 +93,11 @@
 	}
 	n = copy(p, c.unread)
 	c.unread = c.unread[n:]
+	if len(p) > 1 {
+		// net/http watches the connection by reads of one byte while a handler runs. That byte
+		// begins a later request, and is parsed with the bytes that follow it.
+		c.headArrived = c.current.arrived
+	}
 	return n, nil
 }
 
--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -16,6 +16,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/accept"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
@@ -61,33 +62,36 @@
 
 // serveCaller handles a request of a caller, or a nested call of the target on this host.
 func (rh *requestHandler) serveCaller(c echo.Context) (err error) {
-	started := time.Now()
+	arrived := accept.Arrived(c.Request())
 	if rh.leaving.Load() {
 		c.Response().Header().Set("Connection", "close")
 	}
-	call, organisation, refusal := rh.newCall(c.Request(), started)
+	call, organisation, refusal := rh.newCall(c.Request(), arrived)
 	if refusal != nil {
-		return rh.finish(c, started, call, nil, refusal)
+		return rh.finish(c, arrived, call, nil, refusal)
+	}
+	ctx, cancel := context.WithDeadline(c.Request().Context(), call.Deadline)
+	defer cancel()
+	if err := ctx.Err(); err != nil {
+		return rh.finish(c, arrived, call, nil, mesh.Interrupted(err, header.NotRun, "before the request was handled"))
 	}
 	body, refusal := rh.readBody(c, call)
 	defer rh.bufferedBytes.Add(-int64(cap(body)))
 	if refusal != nil {
-		return rh.finish(c, started, call, nil, refusal)
+		return rh.finish(c, arrived, call, nil, refusal)
 	}
-	ctx, cancel := context.WithDeadline(c.Request().Context(), call.Deadline)
-	defer cancel()
 	if organisation != nil && organisation.Contract.Rate > 0 {
 		if refusal := rh.quota.Admit(ctx, organisation.Name); refusal != nil {
-			return rh.finish(c, started, call, nil, refusal)
+			return rh.finish(c, arrived, call, nil, refusal)
 		}
 	}
 	answer, refusal := rh.relay(ctx, call, newPayload(c.Request(), body))
-	return rh.finish(c, started, call, answer, refusal)
+	return rh.finish(c, arrived, call, answer, refusal)
 }
 
 // newCall checks the headers of a request against the rules in force and returns the call for
 // it.
-func (rh *requestHandler) newCall(r *http.Request, now time.Time) (call *mesh.Call, organisation *mesh.Organisation, refusal *mesh.Refusal) {
+func (rh *requestHandler) newCall(r *http.Request, arrived time.Time) (call *mesh.Call, organisation *mesh.Organisation, refusal *mesh.Refusal) {
 	info, err := rh.dialect.ParseRequest(mesh.Headers(r.Header))
 	call = &mesh.Call{CallerRequestID: info.ID, Weight: 1, Class: mesh.ClassLow, Caller: rh.settings.Service}
 	if err != nil {
@@ -105,9 +109,9 @@
 	call.Route = route
 	call.Service = rules.ChooseService(route, rand.Float64())
 	call.AttemptsLeft = route.Retries
-	call.Deadline = now.Add(route.Timeout)
+	call.Deadline = arrived.Add(route.Timeout)
 	if info.Timeout > 0 {
-		call.Deadline = now.Add(min(info.Timeout, route.Timeout))
+		call.Deadline = arrived.Add(min(info.Timeout, route.Timeout))
 	}
 	if !route.Open && len(view.Rules.Organisations) > 0 {
 		if !info.HasKey {
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/accept"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/gate"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
@@ -21,7 +22,7 @@
 	if rh.leaving.Load() {
 		c.Response().Header().Set("Connection", "close")
 	}
-	call, target, err := decodePass(time.Now(), r.Header.Get(header.Pass))
+	call, target, err := decodePass(accept.Arrived(r), r.Header.Get(header.Pass))
 	if err != nil {
 		rh.log.Warnf("refused an invalid call from %s: %v.", r.RemoteAddr, err)
 		return c.String(http.StatusBadRequest, err.Error()+"\n")
--- a/internal/mesh/node/entry.go
+++ b/internal/mesh/node/entry.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/accept"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/calls"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
@@ -26,11 +27,11 @@
 
 // serveCaller handles a request of a caller.
 func (rh *requestHandler) serveCaller(c echo.Context) (err error) {
-	started := time.Now()
+	started := accept.Arrived(c.Request())
 	if rh.leaving.Load() {
 		c.Response().Header().Set("Connection", "close")
 	}
-	in, refusal := rh.accept(c, started)
+	in, refusal := rh.accept(c)
 	if refusal != nil {
 		rh.recordMetrics(started, in.call, refusal)
 		return writeRefusal(c, c.Request().Header.Get(header.RequestID), refusal)
@@ -67,7 +68,7 @@
 }
 
 // accept validates a request of a caller and buffers its body.
-func (rh *requestHandler) accept(c echo.Context, now time.Time) (in incoming, refusal *mesh.Refusal) {
+func (rh *requestHandler) accept(c echo.Context) (in incoming, refusal *mesh.Refusal) {
 	r := c.Request()
 	view := rh.config.View()
 	if view == nil {
@@ -77,7 +78,7 @@
 	if refusal != nil {
 		return in, refusal
 	}
-	call, refusal := newCall(view, match, r, now)
+	call, refusal := newCall(view, match, r, time.Now())
 	if refusal != nil {
 		return in, refusal
 	}
@@ -103,7 +104,7 @@
 	if call.ID, refusal = readRequestID(r); refusal != nil {
 		return nil, refusal
 	}
-	call.Deadline, refusal = readDeadline(r, call.Route, now)
+	call.Deadline, refusal = readDeadline(r, call.Route)
 	return call, refusal
 }
 
@@ -187,7 +188,7 @@
 		return nil, refusal
 	}
 	route := match.For(parent.Organisation)
-	deadline, refusal := readDeadline(r, route, time.Now())
+	deadline, refusal := readDeadline(r, route)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/mesh/node/front.go
+++ b/internal/mesh/node/front.go
@@ -14,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/accept"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/tree"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
@@ -106,11 +107,12 @@
 }
 
 // readDeadline returns the deadline of a request, from its own timeout or that of
-// its route, whichever is shorter.
-func readDeadline(r *http.Request, route *mesh.Route, now time.Time) (deadline time.Time, refusal *mesh.Refusal) {
+// its route, whichever is shorter. Both count from the request's arrival.
+func readDeadline(r *http.Request, route *mesh.Route) (deadline time.Time, refusal *mesh.Refusal) {
+	arrived := accept.Arrived(r)
 	text := r.Header.Get(header.Timeout)
 	if text == "" {
-		return now.Add(route.Timeout), nil
+		return arrived.Add(route.Timeout), nil
 	}
 	requested, err := time.ParseDuration(text)
 	if err != nil {
@@ -119,7 +121,7 @@
 	if requested <= 0 {
 		return deadline, mesh.NotRun(header.DeadlineExceeded, "%s is %q: the deadline has passed", header.Timeout, text)
 	}
-	return now.Add(min(requested, route.Timeout)), nil
+	return arrived.Add(min(requested, route.Timeout)), nil
 }
 
 // refusalBody is the JSON body of a refusal.
--- a/internal/mesh/node/serve.go
+++ b/internal/mesh/node/serve.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/accept"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/calls"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/gate"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
@@ -135,7 +136,7 @@
 	if rh.leaving.Load() {
 		c.Response().Header().Set("Connection", "close")
 	}
-	call, target, refusal := rh.decodePass(r.Header.Get(header.Pass))
+	call, target, refusal := rh.decodePass(r.Header.Get(header.Pass), accept.Arrived(r))
 	if refusal != nil {
 		return rh.writePeerRefusal(c, 0, refusal)
 	}
@@ -164,8 +165,8 @@
 	return writeRefusal(c, "", r)
 }
 
-// decodePass verifies a pass and returns its call and target.
-func (rh *requestHandler) decodePass(value string) (call *mesh.Call, target netip.AddrPort, refusal *mesh.Refusal) {
+// decodePass verifies a pass that arrived at the given time and returns its call and target.
+func (rh *requestHandler) decodePass(value string, arrived time.Time) (call *mesh.Call, target netip.AddrPort, refusal *mesh.Refusal) {
 	pass, err := rh.targets.signer.VerifyPass(value)
 	if err != nil {
 		return nil, target, mesh.NotRun(header.PassInvalid, "%v", err)
@@ -182,16 +183,16 @@
 	if err != nil {
 		return nil, target, mesh.NotRun(header.PassInvalid, "target: %v", err)
 	}
-	return callFromPass(pass, route, time.Now()), target, nil
+	return callFromPass(pass, route, arrived), target, nil
 }
 
-func callFromPass(pass *wire.Pass, route *mesh.Route, now time.Time) (call *mesh.Call) {
+func callFromPass(pass *wire.Pass, route *mesh.Route, arrived time.Time) (call *mesh.Call) {
 	call = &mesh.Call{
 		Route:        route,
 		Class:        mesh.Class(pass.GetClass()),
 		Organisation: mesh.OrganisationName(pass.GetOrganisation()),
 		Weight:       int(pass.GetWeight()),
-		Deadline:     now.Add(time.Duration(pass.GetRemaining())),
+		Deadline:     arrived.Add(time.Duration(pass.GetRemaining())),
 		AttemptsLeft: int(pass.GetAttempts()),
 	}
 	copy(call.ID[:], pass.GetRequestId())
