accept: refuse a body that has not arrived by the deadline, never with status 200

Callers saw: a request on a good route whose body stalls was answered at the deadline with status 200 and an empty body, which a caller takes for a success. A failed read of the body cancels the context of the request in net/http, and the path that left out the text of a refusal for a disconnected caller left out the status with it. On node's interface there was no deadline for bodies at all.

A refusal always has its status.

TestBodyDeadline covers each cause under a paused clock.

--- a/internal/mesh/accept/accept_test.go
+++ b/internal/mesh/accept/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
 // pipeListener accepts the connections that are sent to it. Its pipes let the tests run under
@@ -160,6 +163,55 @@
 	}
 }
 
+// TestBodyDeadline guards against a body that is awaited after the deadline of its request, and
+// against one that is refused with a code other than the cause's.
+func TestBodyDeadline(t *testing.T) {
+	const limit = 64
+	for _, c := range []struct {
+		name, head string
+
+		// leave closes the connection after a second.
+		leave bool
+		want  header.RefusalCode
+		after time.Duration
+	}{
+		{"whole", "Content-Length: 4\r\n\r\nhalf", false, "", 0},
+		{"stalls", "Content-Length: 8\r\n\r\nhalf", false, header.DeadlineExceeded, 3 * time.Second},
+		{"chunk stalls", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false, header.DeadlineExceeded, 3 * time.Second},
+		{"caller leaves", "Content-Length: 8\r\n\r\nhalf", true, header.CallerLeft, time.Second},
+		{"malformed", "Transfer-Encoding: chunked\r\n\r\nz\r\nhalf\r\n", false, header.BodyBroken, 0},
+		{"too large", "Content-Length: 65\r\n\r\n", false, header.BodyTooLarge, 4 * time.Second},
+		{"chunks too large", "Transfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("x", 65), false, header.BodyTooLarge, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				opened := time.Now()
+				var got header.RefusalCode
+				var after time.Duration
+				caller, stop := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+					ctx, cancel := context.WithTimeout(r.Context(), 3*time.Second)
+					defer cancel()
+					if _, refusal := ReadBody(ctx, w, r, limit); refusal != nil {
+						got = refusal.Code
+					}
+					after = time.Since(opened)
+				})
+				write(t, caller, "POST / HTTP/1.1\r\nHost: a\r\n"+c.head)
+				time.Sleep(time.Second)
+				if c.leave {
+					_ = caller.Close()
+				}
+				time.Sleep(3 * time.Second)
+				stop()
+				time.Sleep(time.Second) // net/http closes some connections after a pause.
+				if got != c.want || after != c.after {
+					t.Errorf("got code %q after %v, want %q after %v", got, after, c.want, c.after)
+				}
+			})
+		})
+	}
+}
+
 // TestReadDeadline guards against a deadline that does not end a read, or that still holds
 // after it has been replaced.
 func TestReadDeadline(t *testing.T) {
--- a/internal/mesh/accept/serve.go
+++ b/internal/mesh/accept/serve.go
@@ -2,11 +2,20 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
+// maxDiscardBytes is how much of an oversized body is read and discarded.
+const maxDiscardBytes = 1 << 20
+
 // Serve serves the connections of a listener until the server is shut down or closed. It sets
 // the server's connection hooks, and the context of each request is cancelled as soon as its
 // caller closes the connection.
@@ -52,3 +61,49 @@
 	}
 	return time.Now()
 }
+
+// ReadBody reads a request body of at most limit bytes. It refuses a request whose body is
+// larger, or does not arrive before ctx is done.
+func ReadBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) (body []byte, refusal *mesh.Refusal) {
+	if err := ctx.Err(); err != nil {
+		return nil, mesh.Interrupted(err, header.NotRun, "before the request was handled")
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > limit {
+		// The request is refused whether its body arrives or not.
+		_, _ = io.CopyN(io.Discard, r.Body, maxDiscardBytes)
+		return nil, mesh.NotRun(header.BodyTooLarge, "the body size of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
+	}
+	deadline, _ := ctx.Deadline()
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(deadline); err != nil {
+		return nil, mesh.NotRun(header.BodyBroken, "setting the read deadline of the body failed: %v", err)
+	}
+	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return body, mesh.NotRun(header.BodyTooLarge, "the body exceeds the limit of %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return body, mesh.Interrupted(context.DeadlineExceeded, header.NotRun, "before the body arrived")
+	case err != nil && ctx.Err() != nil:
+		return body, mesh.Interrupted(ctx.Err(), header.NotRun, "before the body arrived")
+	case err != nil:
+		return body, mesh.NotRun(header.BodyBroken, "reading the body failed: %v", err)
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return body, mesh.NotRun(header.BodyBroken, "resetting the read deadline of the connection failed: %v", err)
+	}
+	return body, nil
+}
+
+func readAll(source io.Reader, length int64) (body []byte, err error) {
+	if length < 0 {
+		return io.ReadAll(source)
+	}
+	body = make([]byte, length)
+	_, err = io.ReadFull(source, body)
+	return body, err
+}
--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -54,9 +53,6 @@
 // memory of the smallest hosts.
 const maxBufferedBytes = 48 << 20
 
-// maxDiscardBytes is how much of an oversized body is read and discarded.
-const maxDiscardBytes = 1 << 20
-
 // unknownBodyBytes is the assumed size of a body of unknown length until it has been read.
 const unknownBodyBytes = 64 << 10
 
@@ -72,10 +68,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), call.Deadline)
 	defer cancel()
-	if err := ctx.Err(); err != nil {
-		return rh.finish(c, arrived, call, nil, mesh.Interrupted(err, header.NotRun, "before the request was handled"))
-	}
-	body, refusal := rh.readBody(c, call)
+	body, refusal := rh.readBody(ctx, c, call)
 	defer rh.bufferedBytes.Add(-int64(cap(body)))
 	if refusal != nil {
 		return rh.finish(c, arrived, call, nil, refusal)
@@ -151,47 +144,14 @@
 }
 
 // readBody buffers the body of a request, so that the request can be retried.
-func (rh *requestHandler) readBody(c echo.Context, call *mesh.Call) (body []byte, refusal *mesh.Refusal) {
-	r := c.Request()
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	limit := rh.follow.View().Rules.Limits.MaxBodyBytes
-	if r.ContentLength > limit {
-		// Closing a connection with unread bytes resets it, and the reset can overtake the
-		// refusal. An error while discarding makes no difference.
-		_, _ = io.CopyN(io.Discard, r.Body, maxDiscardBytes)
-		return nil, mesh.NotRun(header.BodyTooLarge, "the body size of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
-	}
-	if rh.bufferedBytes.Load()+max(r.ContentLength, unknownBodyBytes) > maxBufferedBytes {
+func (rh *requestHandler) readBody(ctx context.Context, c echo.Context, call *mesh.Call) (body []byte, refusal *mesh.Refusal) {
+	r, limit := c.Request(), rh.follow.View().Rules.Limits.MaxBodyBytes
+	if r.ContentLength != 0 && rh.bufferedBytes.Load()+max(min(r.ContentLength, limit), unknownBodyBytes) > maxBufferedBytes {
 		return nil, mesh.NotRun(header.NodeBusy, "the node has reached its limit for buffered request bodies")
 	}
-	// A caller that sends its body slowly is cut off at the deadline.
-	if err := http.NewResponseController(c.Response()).SetReadDeadline(call.Deadline); err != nil {
-		return nil, mesh.NotRun(header.BodyBroken, "setting the read deadline of the body failed: %v", err)
-	}
-	body, err := readAll(http.MaxBytesReader(c.Response(), r.Body, limit), r.ContentLength)
+	body, refusal = accept.ReadBody(ctx, c.Response(), r, limit)
 	rh.bufferedBytes.Add(int64(cap(body)))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return body, mesh.NotRun(header.BodyTooLarge, "the body exceeds the limit of %d bytes", limit)
-	case err != nil:
-		return body, mesh.NotRun(header.BodyBroken, "reading the body failed: %v", err)
-	}
-	if err := http.NewResponseController(c.Response()).SetReadDeadline(time.Time{}); err != nil {
-		return body, mesh.NotRun(header.BodyBroken, "resetting the read deadline of the connection failed: %v", err)
-	}
-	return body, nil
-}
-
-func readAll(source io.Reader, length int64) (body []byte, err error) {
-	if length < 0 {
-		return io.ReadAll(source)
-	}
-	body = make([]byte, length)
-	_, err = io.ReadFull(source, body)
-	return body, err
+	return body, refusal
 }
 
 // hopHeaders are the hop-by-hop headers, which are not forwarded.
@@ -288,10 +248,6 @@
 func (rh *requestHandler) writeRefusal(c echo.Context, refusal *mesh.Refusal) (err error) {
 	h := c.Response().Header()
 	status := rh.dialect.WriteRefusal(mesh.Headers(h), refusal)
-	if c.Request().Context().Err() != nil {
-		// The caller has disconnected, so nobody reads the body.
-		return nil
-	}
 	return c.String(status, refusal.Message+"\n")
 }
 
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -31,14 +31,14 @@
 		writePeerRefusal(c.Response().Header(), call.CallerRequestID, notReady())
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
-	body, refusal := rh.readBody(c, call)
+	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+	defer cancel()
+	body, refusal := rh.readBody(ctx, c, call)
 	defer rh.bufferedBytes.Add(-int64(cap(body)))
 	if refusal != nil {
 		writePeerRefusal(c.Response().Header(), call.CallerRequestID, refusal)
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
-	defer cancel()
 	answer, refusal := rh.runLocally(ctx, call, target, newPayload(r, body))
 	if refusal != nil {
 		if refusal.Code == header.CallerLeft {
--- a/internal/mesh/node/entry.go
+++ b/internal/mesh/node/entry.go
@@ -31,14 +31,18 @@
 	if rh.leaving.Load() {
 		c.Response().Header().Set("Connection", "close")
 	}
-	in, refusal := rh.accept(c)
+	in, refusal := rh.newIncoming(c.Request())
 	if refusal != nil {
 		rh.recordMetrics(started, in.call, refusal)
 		return writeRefusal(c, c.Request().Header.Get(header.RequestID), refusal)
 	}
-	c.Response().Header().Set(header.RequestID, in.call.ID.String())
 	ctx, cancel := requestContext(c.Request(), in.call.Deadline)
 	defer cancel()
+	if in.payload, refusal = readPayload(ctx, c, in.call.Route.MaxBody); refusal != nil {
+		rh.recordMetrics(started, in.call, refusal)
+		return writeRefusal(c, c.Request().Header.Get(header.RequestID), refusal)
+	}
+	c.Response().Header().Set(header.RequestID, in.call.ID.String())
 	if in.call.Organisation != "" {
 		if refusal := rh.contract.Admit(ctx, in.call.Organisation, in.call.Class, in.call.Deadline); refusal != nil {
 			rh.recordMetrics(started, in.call, refusal)
@@ -67,9 +71,8 @@
 	rh.meter.Record(m)
 }
 
-// accept validates a request of a caller and buffers its body.
-func (rh *requestHandler) accept(c echo.Context) (in incoming, refusal *mesh.Refusal) {
-	r := c.Request()
+// newIncoming validates the headers of a request of a caller.
+func (rh *requestHandler) newIncoming(r *http.Request) (in incoming, refusal *mesh.Refusal) {
 	view := rh.config.View()
 	if view == nil {
 		return in, mesh.NotRun(header.NoSettings, "the node has not loaded its settings yet")
@@ -78,12 +81,7 @@
 	if refusal != nil {
 		return in, refusal
 	}
-	call, refusal := newCall(view, match, r, time.Now())
-	if refusal != nil {
-		return in, refusal
-	}
-	in.call = call
-	in.payload, refusal = readPayload(c.Response(), r, call.Route.MaxBody)
+	in.call, refusal = newCall(view, match, r, time.Now())
 	return in, refusal
 }
 
@@ -148,13 +146,13 @@
 		return writeRefusal(c, "", refusal)
 	}
 	delegated := call.AttemptsLeft
-	payload, refusal := readPayload(c.Response(), r, call.Route.MaxBody)
+	ctx, cancel := requestContext(r, call.Deadline)
+	defer cancel()
+	payload, refusal := readPayload(ctx, c, call.Route.MaxBody)
 	if refusal != nil {
 		rh.calls.ReturnBudget(token, delegated, delegated, mesh.ClassLow)
 		return writeRefusal(c, call.ID.String(), refusal)
 	}
-	ctx, cancel := requestContext(r, call.Deadline)
-	defer cancel()
 	answer, left, refusal := rh.relay(ctx, call, payload)
 	if refusal != nil {
 		rh.calls.ReturnBudget(token, delegated, left, refusalLevel(refusal))
--- a/internal/mesh/node/front.go
+++ b/internal/mesh/node/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -93,14 +92,11 @@
 }
 
 // readPayload buffers the whole request, so that it can be retried.
-func readPayload(w http.ResponseWriter, r *http.Request, limit int64) (p *mesh.Payload, refusal *mesh.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, mesh.NotRun(header.BodyTooLarge, "the body exceeds the limit of %d bytes", limit)
-	case err != nil:
-		return nil, mesh.NotRun(header.BodyBroken, "reading the body failed: %v", err)
+func readPayload(ctx context.Context, c echo.Context, limit int64) (p *mesh.Payload, refusal *mesh.Refusal) {
+	r := c.Request()
+	body, refusal := accept.ReadBody(ctx, c.Response(), r, limit)
+	if refusal != nil {
+		return nil, refusal
 	}
 	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.RequestURI(), "/"), "/")
 	return &mesh.Payload{Method: r.Method, Path: "/" + path, Header: forwardedHeaders(r.Header), Body: body}, nil
--- a/internal/mesh/node/serve.go
+++ b/internal/mesh/node/serve.go
@@ -141,12 +141,12 @@
 		return rh.writePeerRefusal(c, 0, refusal)
 	}
 	c.Response().Header().Set(header.RequestID, call.ID.String())
-	payload, refusal := readPayload(c.Response(), r, call.Route.MaxBody)
+	ctx, cancel := requestContext(r, call.Deadline)
+	defer cancel()
+	payload, refusal := readPayload(ctx, c, call.Route.MaxBody)
 	if refusal != nil {
 		return rh.writePeerRefusal(c, call.AttemptsLeft, refusal)
 	}
-	ctx, cancel := requestContext(r, call.Deadline)
-	defer cancel()
 	answer, left, refusal := rh.runLocally(ctx, target, call, payload)
 	if refusal != nil {
 		return rh.writePeerRefusal(c, left, refusal)
