accept: send a refusal without waiting for a body that stalls

Callers saw: a request that is refused before its body is read (unknown route or key, body over the limit) got no answer while the body stalled; none came within 4 s. net/http reads the rest of a body before it sends an answer, so that the connection can be used again, and that read had no deadline.

BoundRefusal gives the read 250 ms before each refusal at callers' and peers' listeners of attach and node; after it, net/http answers and closes the connection. A body that has already arrived costs nothing and keeps the connection. A first try sent the answer before the body (EnableFullDuplex) and was dropped: when the rest then fails to arrive, net/http keeps the connection and takes what arrives later for a new request (seen in TestRefusalBeforeBody, the connection stayed open for a minute).

--- a/internal/mesh/accept/accept_test.go
+++ b/internal/mesh/accept/accept_test.go
@@ -163,6 +163,46 @@
 	}
 }
 
+// TestRefusalBeforeBody guards against a refusal that waits without limit for the rest of a
+// request body, and against bytes of that body that are taken for the next request.
+func TestRefusalBeforeBody(t *testing.T) {
+	for _, c := range []struct{ name, head string }{
+		{"length", "Content-Length: 100\r\n\r\nhalf"},
+		{"chunked", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"},
+		{"expects to be asked", "Content-Length: 100\r\nExpect: 100-continue\r\n\r\n"},
+		{"large", "Content-Length: 10000000\r\n\r\nhalf"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				opened := time.Now()
+				requests := 0
+				caller, stop := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+					requests++
+					BoundRefusal(w, r)
+					w.WriteHeader(http.StatusNotFound)
+				})
+				write(t, caller, "POST / HTTP/1.1\r\nHost: a\r\n"+c.head)
+				answers := bufio.NewReader(caller)
+				answer, err := http.ReadResponse(answers, nil)
+				if err != nil || answer.StatusCode != http.StatusNotFound || time.Since(opened) > discardTimeout {
+					t.Fatalf("got %v after %v (%v), want status %d within %v", answer, time.Since(opened), err, http.StatusNotFound, discardTimeout)
+				}
+				_, _ = io.WriteString(caller, get("/smuggled")) // The connection may be closed already.
+				if _, err := io.Copy(io.Discard, answers); err != nil {
+					t.Error(err)
+				}
+				if got, want := time.Since(opened), time.Second; got > want {
+					t.Errorf("got the connection closed after %v, want %v at most", got, want)
+				}
+				if requests != 1 {
+					t.Errorf("got %d requests, want 1", requests)
+				}
+				stop()
+			})
+		})
+	}
+}
+
 // TestBodyDeadline guards against a body that is awaited after the deadline of its request, and
 // against one that is refused with a code other than the cause's.
 func TestBodyDeadline(t *testing.T) {
@@ -180,7 +220,7 @@
 		{"chunk stalls", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false, header.DeadlineExceeded, 3 * time.Second},
 		{"caller leaves", "Content-Length: 8\r\n\r\nhalf", true, header.CallerLeft, time.Second},
 		{"malformed", "Transfer-Encoding: chunked\r\n\r\nz\r\nhalf\r\n", false, header.BodyBroken, 0},
-		{"too large", "Content-Length: 65\r\n\r\n", false, header.BodyTooLarge, 4 * time.Second},
+		{"too large", "Content-Length: 65\r\n\r\n", false, header.BodyTooLarge, discardTimeout},
 		{"chunks too large", "Transfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("x", 65), false, header.BodyTooLarge, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/mesh/accept/serve.go
+++ b/internal/mesh/accept/serve.go
@@ -13,8 +13,15 @@
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
-// maxDiscardBytes is how much of an oversized body is read and discarded.
-const maxDiscardBytes = 1 << 20
+const (
+	// discardTimeout is how long a refusal waits for the rest of the request body. A connection
+	// whose body has been read can be used again, and closing one with unread bytes resets it,
+	// which can overtake the refusal.
+	discardTimeout = 250 * time.Millisecond
+
+	// maxDiscardBytes is how much of an oversized body is read and discarded.
+	maxDiscardBytes = 1 << 20
+)
 
 // Serve serves the connections of a listener until the server is shut down or closed. It sets
 // the server's connection hooks, and the context of each request is cancelled as soon as its
@@ -62,6 +69,15 @@
 	return time.Now()
 }
 
+// BoundRefusal bounds how long the refusal of a request, which is written next, waits for the
+// rest of the request body.
+func BoundRefusal(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		// An error means that the connection is closed, which ends the wait as well.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+	}
+}
+
 // ReadBody reads a request body of at most limit bytes. It refuses a request whose body is
 // larger, or does not arrive before ctx is done.
 func ReadBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) (body []byte, refusal *mesh.Refusal) {
@@ -72,6 +88,7 @@
 		return nil, nil
 	}
 	if r.ContentLength > limit {
+		BoundRefusal(w, r)
 		// The request is refused whether its body arrives or not.
 		_, _ = io.CopyN(io.Discard, r.Body, maxDiscardBytes)
 		return nil, mesh.NotRun(header.BodyTooLarge, "the body size of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -248,6 +248,7 @@
 func (rh *requestHandler) writeRefusal(c echo.Context, refusal *mesh.Refusal) (err error) {
 	h := c.Response().Header()
 	status := rh.dialect.WriteRefusal(mesh.Headers(h), refusal)
+	accept.BoundRefusal(c.Response(), c.Request())
 	return c.String(status, refusal.Message+"\n")
 }
 
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -9,7 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/accept"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/rules"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
@@ -224,11 +227,14 @@
 	retryAfterHeader = header.Prefix + "Wait"
 )
 
-// writePeerRefusal sets the headers of a refusal that is sent to another node.
-func writePeerRefusal(h http.Header, requestID string, r *mesh.Refusal) {
-	h.Set(header.RequestID, requestID)
+// writePeerRefusal sends a refusal to another node.
+func writePeerRefusal(c echo.Context, call *mesh.Call, r *mesh.Refusal) (err error) {
+	h := c.Response().Header()
+	h.Set(header.RequestID, call.CallerRequestID)
 	h.Set(header.Outcome, string(r.Outcome))
 	h.Set(header.Code, string(r.Code))
 	h.Set(reasonHeader, r.Message)
 	h.Set(retryAfterHeader, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	accept.BoundRefusal(c.Response(), c.Request())
+	return c.NoContent(http.StatusServiceUnavailable)
 }
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -25,27 +25,25 @@
 	call, target, err := decodePass(accept.Arrived(r), r.Header.Get(header.Pass))
 	if err != nil {
 		rh.log.Warnf("refused an invalid call from %s: %v.", r.RemoteAddr, err)
+		accept.BoundRefusal(c.Response(), r)
 		return c.String(http.StatusBadRequest, err.Error()+"\n")
 	}
 	if rh.follow.View() == nil {
-		writePeerRefusal(c.Response().Header(), call.CallerRequestID, notReady())
-		return c.NoContent(http.StatusServiceUnavailable)
+		return writePeerRefusal(c, call, notReady())
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
 	body, refusal := rh.readBody(ctx, c, call)
 	defer rh.bufferedBytes.Add(-int64(cap(body)))
 	if refusal != nil {
-		writePeerRefusal(c.Response().Header(), call.CallerRequestID, refusal)
-		return c.NoContent(http.StatusServiceUnavailable)
+		return writePeerRefusal(c, call, refusal)
 	}
 	answer, refusal := rh.runLocally(ctx, call, target, newPayload(r, body))
 	if refusal != nil {
 		if refusal.Code == header.CallerLeft {
 			rh.logStopped(r.RemoteAddr, call, refusal)
 		}
-		writePeerRefusal(c.Response().Header(), call.CallerRequestID, refusal)
-		return c.NoContent(http.StatusServiceUnavailable)
+		return writePeerRefusal(c, call, refusal)
 	}
 	h := c.Response().Header()
 	h.Set(header.RequestID, call.CallerRequestID)
--- a/internal/mesh/node/conn_test.go
+++ b/internal/mesh/node/conn_test.go
@@ -31,6 +31,8 @@
 		want       []int
 	}{
 		{"stalled body", rawRequest(http.MethodPost, "/ledger/payouts", "Content-Length: 10\r\n") + "half", []int{504}},
+		{"stalled body, unknown route", rawRequest(http.MethodPost, "/ledger/other", "Content-Length: 10\r\n") + "half", []int{404}},
+		{"stalled body, too large", rawRequest(http.MethodPost, "/ledger/payouts", "Content-Length: 17\r\n") + "half", []int{413}},
 		{"behind another", read + read + read, []int{504, 504, 504}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/mesh/node/front.go
+++ b/internal/mesh/node/front.go
@@ -135,6 +135,7 @@
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", retryAfter(r.RetryAfter))
 	}
+	accept.BoundRefusal(c.Response(), c.Request())
 	return c.JSON(statusOf(r.Code), refusalBody{Outcome: r.Outcome, Code: r.Code, Message: r.Message, RequestID: id})
 }
 
