accept, link: let go of a target whose caller has stopped reading

Neither the write to the caller nor the end of the request's context closed anything: link only set a deadline on the connection to the target, which takes effect at the next read.

A write to a caller or node that makes no progress for 5 s ends the connection; one that reads slowly is still served. A link closes its connection as soon as the request's context ends, so a target stops at the deadline also while the answer waits for the caller.

--- a/internal/mesh/accept/accept_test.go
+++ b/internal/mesh/accept/accept_test.go
@@ -163,6 +163,41 @@
 	}
 }
 
+// TestStalledCallerEndsWrite guards against a handler that waits without limit for a caller
+// that does not read, and against one that gives up a caller that reads slowly.
+func TestStalledCallerEndsWrite(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pause time.Duration
+		want  bool
+	}{{"reads slowly", stallTimeout - time.Second, true}, {"stops reading", time.Hour, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const size = 20 << 10
+				written := make(chan error, 1)
+				caller, stop := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+					_, err := w.Write(make([]byte, size))
+					written <- err
+				})
+				write(t, caller, get("/"))
+				go func() {
+					for buffer := make([]byte, 1<<10); ; time.Sleep(c.pause) {
+						if _, err := caller.Read(buffer); err != nil {
+							return
+						}
+					}
+				}()
+				err := <-written
+				if got := err == nil; got != c.want {
+					t.Errorf("got the answer written: %v (%v), want %v", got, err, c.want)
+				}
+				stop()
+				time.Sleep(2 * c.pause)
+			})
+		})
+	}
+}
+
 // TestRefusalBeforeBody guards against a refusal that waits without limit for the rest of a
 // request body, and against bytes of that body that are taken for the next request.
 func TestRefusalBeforeBody(t *testing.T) {
--- a/internal/mesh/accept/conn.go
+++ b/internal/mesh/accept/conn.go
@@ -19,6 +19,9 @@
 	// maxChunks is the maximum number of chunks that are received ahead of the handler. While
 	// they are all used, nothing more is read from the connection, and its close is not noticed.
 	maxChunks = 8
+
+	// stallTimeout is how long a write may make no progress before the connection is given up.
+	stallTimeout = 5 * time.Second
 )
 
 // chunk is a piece of what a connection has received.
@@ -120,6 +123,20 @@
 	}
 }
 
+// Write implements net.Conn. It fails when the remote end takes nothing for stallTimeout.
+func (c *conn) Write(p []byte) (n int, err error) {
+	for {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+			return n, err
+		}
+		written, err := c.Conn.Write(p[n:])
+		n += written
+		if err == nil || written == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+	}
+}
+
 // CloseWrite closes the writing side; net/http calls it before it closes a connection on which
 // bytes are still arriving.
 func (c *conn) CloseWrite() (err error) {
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -228,7 +228,7 @@
 		p.put(c)
 		return nil, false, err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	answer, sent, err = p.roundTrip(c, r, stop)
 	if err != nil {
 		stop()
