link, node: bound the head of an answer

The length that an answer to another request announces was skipped whatever it was.

What precedes the body of an answer is bounded at 64 KiB together, skipped bodies at 1 MiB; more ends the connection and the request as unknown (502), at once instead of at the deadline. node uses net/http's client, whose bound was 10 MB; it is set to the same 64 KiB. Bodies without end were bounded already: 64 KiB are kept, and the rest is forwarded until the deadline.

--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -58,6 +58,13 @@
 	// before it is closed.
 	maxStrayAnswers = 2
 
+	// maxStrayBody is the maximum size in bytes of the body of such an answer.
+	maxStrayBody = 1 << 20
+
+	// maxHeadBytes is the maximum size of everything that precedes the body of an answer: its
+	// own head, interim answers, and the heads of answers to other requests.
+	maxHeadBytes = 64 << 10
+
 	readBuffer = 4 << 10
 )
 
@@ -65,6 +72,9 @@
 var (
 	// ErrNoMatchingAnswer means that the connection delivered only answers to other requests.
 	ErrNoMatchingAnswer = errors.New("the connection delivered no answer to this request")
+
+	// ErrHeadTooLarge means that the head of an answer does not end within maxHeadBytes.
+	ErrHeadTooLarge = fmt.Errorf("the head of the answer exceeds %d bytes", maxHeadBytes)
 )
 
 // Request is a request to send over a link.
@@ -104,6 +114,7 @@
 type conn struct {
 	net.Conn
 	raw      syscall.RawConn
+	source   *boundedSource
 	reader   *bufio.Reader
 	lastUsed time.Time
 
@@ -203,7 +214,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c = &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), idleTimeout: idleTimeout}
+	source := &boundedSource{source: opened}
+	c = &conn{Conn: opened, source: source, reader: bufio.NewReaderSize(source, readBuffer), idleTimeout: idleTimeout}
 	if c.raw, err = opened.(*net.TCPConn).SyscallConn(); err != nil {
 		_ = opened.Close()
 		return nil, err
@@ -285,6 +297,30 @@
 	return bufferBody(response, finish)
 }
 
+// boundedSource bounds what is read from a connection until the head of an answer has ended.
+type boundedSource struct {
+	source io.Reader
+
+	// left is the number of bytes that may be read, or unbounded.
+	left int
+}
+
+// unbounded allows any number of bytes to be read.
+const unbounded = -1
+
+// Read implements io.Reader.
+func (b *boundedSource) Read(p []byte) (n int, err error) {
+	if b.left == unbounded {
+		return b.source.Read(p)
+	}
+	if b.left == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err = b.source.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
 func isChunked(r *http.Response) bool {
 	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
@@ -292,6 +328,8 @@
 // read returns the answer to the request. It skips informational responses and answers to
 // other requests.
 func (c *conn) read(r *Request) (response *http.Response, err error) {
+	c.source.left = maxHeadBytes
+	defer func() { c.source.left = unbounded }()
 	for range maxStrayAnswers + 1 {
 		response, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -303,9 +341,10 @@
 		if r.Accept == nil || r.Accept(response.StatusCode, mesh.Headers(response.Header)) {
 			return response, nil
 		}
-		if response.ContentLength < 0 {
+		if response.ContentLength < 0 || response.ContentLength > maxStrayBody {
 			return nil, ErrNoMatchingAnswer
 		}
+		c.source.left += int(response.ContentLength)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
--- a/internal/mesh/node/exchange.go
+++ b/internal/mesh/node/exchange.go
@@ -85,6 +85,8 @@
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
