accept: find connections whose remote end is gone within 3 s

Only the end that opened a connection probed it; the end that accepted it kept the kernel's defaults, 15 s and nine probes.

All listeners of attach and node probe connections that are silent for 1 s, twice. Not tested end to end, since a connection cannot be silenced on one machine without privileges; the test checks the options of accepted sockets.

--- a/internal/mesh/accept/accept_test.go
+++ b/internal/mesh/accept/accept_test.go
@@ -8,12 +8,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
@@ -327,3 +330,42 @@
 		}
 	})
 }
+
+// TestSilentConnectionIsProbed guards against a connection whose remote end is gone and that
+// stays open until the kernel's own probes find it, after minutes.
+func TestSilentConnectionIsProbed(t *testing.T) {
+	l, err := Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	raw, err := accepted.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range []struct {
+		name         string
+		option, want int
+	}{
+		{"idle time in s", unix.TCP_KEEPIDLE, 1},
+		{"interval in s", unix.TCP_KEEPINTVL, 1},
+		{"number of probes", unix.TCP_KEEPCNT, 2},
+	} {
+		var got int
+		var optionErr error
+		err := raw.Control(func(fd uintptr) { got, optionErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, o.option) })
+		if err != nil || optionErr != nil || got != o.want {
+			t.Errorf("%s: got %d (%v, %v), want %d", o.name, got, err, optionErr, o.want)
+		}
+	}
+}
--- a/internal/mesh/accept/serve.go
+++ b/internal/mesh/accept/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"time"
 
@@ -19,10 +20,23 @@
 	// which can overtake the refusal.
 	discardTimeout = 250 * time.Millisecond
 
+	// TCP keep-alive probes find a connection whose remote end is gone or cut off within
+	// probeIdle + probeCount * probeInterval. The kernel counts in whole seconds.
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+
 	// maxDiscardBytes is how much of an oversized body is read and discarded.
 	maxDiscardBytes = 1 << 20
 )
 
+// Listen opens a listener. A remote end that disappears without closing its connection counts as
+// one that has closed it.
+func Listen(ctx context.Context, addr netip.AddrPort) (l net.Listener, err error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}}
+	return config.Listen(ctx, "tcp", addr.String())
+}
+
 // Serve serves the connections of a listener until the server is shut down or closed. It sets
 // the server's connection hooks, and the context of each request is cancelled as soon as its
 // caller closes the connection.
--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -200,7 +200,7 @@
 	for _, d := range a.duties {
 		addDuty(&group, d)
 	}
-	if err := a.listen(); err != nil {
+	if err := a.listen(ctx); err != nil {
 		return err
 	}
 	for _, s := range a.servers {
@@ -221,9 +221,9 @@
 }
 
 // listen opens all listeners or none.
-func (a *Agent) listen() (err error) {
+func (a *Agent) listen(ctx context.Context) (err error) {
 	for i, s := range a.servers {
-		s.listener, err = net.Listen("tcp4", s.addr.String())
+		s.listener, err = accept.Listen(ctx, s.addr)
 		if err != nil {
 			for _, opened := range a.servers[:i] {
 				err = errors.Join(err, opened.listener.Close())
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -193,7 +193,7 @@
 	for _, d := range n.duties {
 		addDuty(&group, d)
 	}
-	if err := n.listen(); err != nil {
+	if err := n.listen(ctx); err != nil {
 		return err
 	}
 	for _, s := range n.servers {
@@ -212,9 +212,9 @@
 }
 
 // listen opens all listeners or none.
-func (n *Node) listen() (err error) {
+func (n *Node) listen(ctx context.Context) (err error) {
 	for i, s := range n.servers {
-		s.listener, err = net.Listen("tcp", s.addr.String())
+		s.listener, err = accept.Listen(ctx, s.addr)
 		if err != nil {
 			for _, opened := range n.servers[:i] {
 				_ = opened.listener.Close()
