--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -31,6 +31,10 @@
 	// headerTimeout is the timeout for a client to send its headers.
 	headerTimeout = 10 * time.Second
 
+	// controlTimeout is the timeout for reading a request to a listener that serves no calls.
+	// A target that waits longer for the answer to a report has turned to another node.
+	controlTimeout = 2 * time.Second
+
 	// idleTimeout is how long a listener keeps an idle connection. It exceeds the idle
 	// timeouts of clients and nodes, so that they close the connection first.
 	idleTimeout = time.Minute
@@ -154,9 +158,9 @@
 	return []*server{
 		newServer("peers", a.settings.PeerBind, peers),
 		newServer("callers", a.settings.Callers, callers),
-		newServer("ready", a.settings.Ready, ready),
-		newServer("reports", a.settings.Reports, reports),
-		newServer("metrics", a.settings.Metrics, metrics),
+		newControlServer("ready", a.settings.Ready, ready),
+		newControlServer("reports", a.settings.Reports, reports),
+		newControlServer("metrics", a.settings.Metrics, metrics),
 	}
 }
 
@@ -177,6 +181,12 @@
 	}}
 }
 
+func newControlServer(name string, addr netip.AddrPort, h http.Handler) (s *server) {
+	s = newServer(name, addr, h)
+	s.http.ReadTimeout = controlTimeout
+	return s
+}
+
 // ready reports whether callers may send requests to this node.
 func (a *Agent) ready(c echo.Context) (err error) {
 	switch {
