accept: receive behind a request only once bytes have arrived there

Every connection had a goroutine and buffers.

net/http notices the close by itself until a byte arrives behind the running request. The goroutine and its ring now start with that byte, so connections that carry one request at a time have neither. Deadlines apply to the connection before and to the ring after.

--- a/internal/mesh/accept/accept_test.go
+++ b/internal/mesh/accept/accept_test.go
@@ -98,7 +98,9 @@
 				})
 				write(t, caller, get("/first"))
 				synctest.Wait()
-				write(t, caller, c.behind)
+				if c.behind != "" {
+					write(t, caller, c.behind)
+				}
 				time.Sleep(time.Second)
 				if err := caller.Close(); err != nil {
 					t.Fatal(err)
@@ -298,7 +300,6 @@
 		defer caller.Close()
 		c := newConn(accepted)
 		c.cancel = func() {}
-		go c.receive()
 		defer c.Close()
 		for _, d := range []struct {
 			name     string
@@ -308,8 +309,11 @@
 			{"past", -time.Second, os.ErrDeadlineExceeded},
 			{"future", time.Second, os.ErrDeadlineExceeded},
 			{"past again", -time.Second, os.ErrDeadlineExceeded},
-			{"none", 0, nil},
+			{"none", 0, nil}, // From here on, bytes are received ahead.
 			{"far", time.Hour, nil},
+			{"past after bytes", -time.Second, os.ErrDeadlineExceeded},
+			{"future after bytes", time.Second, os.ErrDeadlineExceeded},
+			{"none after bytes", 0, nil},
 		} {
 			var at time.Time
 			if d.deadline != 0 {
--- a/internal/mesh/accept/conn.go
+++ b/internal/mesh/accept/conn.go
@@ -1,6 +1,6 @@
-// Package accept serves HTTP over connections that are read all the time, not only between two
-// requests. The close of a remote end is noticed while a request runs, whatever was sent behind
-// that request, and each request is known with the time at which it arrived.
+// Package accept serves HTTP over connections that are observed while a request runs. The close
+// of a remote end is noticed whatever was sent behind that request, and each request is known
+// with the time at which it arrived.
 package accept
 
 import (
@@ -13,11 +13,11 @@
 )
 
 const (
-	// chunkSize is the maximum number of bytes that one read takes from a connection.
+	// chunkSize is the maximum number of bytes that are received at a time behind a request.
 	chunkSize = 2 << 10
 
-	// maxChunks is the maximum number of chunks that are received ahead of the handler. While
-	// they are all used, nothing more is read from the connection, and its close is not noticed.
+	// maxChunks is the maximum number of chunks that are received behind a request. While they
+	// are all used, nothing more is read from the connection, and its close is not noticed.
 	maxChunks = 8
 
 	// stallTimeout is how long a write may make no progress before the connection is given up.
@@ -30,97 +30,71 @@
 	arrived time.Time
 }
 
-var buffers = sync.Pool{New: func() any { return new([chunkSize]byte) }}
-
-// conn is an accepted connection. One goroutine receives what arrives and passes it through a
-// bounded ring to the goroutines of net/http, of which one at a time calls Read.
+// conn is an accepted connection, of which net/http lets one goroutine at a time call Read.
+//
+// While a handler runs, net/http watches the connection by a read of one byte. It notices the
+// close of the remote end unless a byte arrives first. From then on, a goroutine of the connection
+// receives all that arrives and passes it to Read through a bounded ring.
 type conn struct {
 	net.Conn
 
-	// chunks is closed once the remote end has closed the connection or reading has failed.
-	chunks chan chunk
-
-	// receiveErr is the reason why chunks was closed. It is set before.
-	receiveErr error
-
 	// cancel cancels the contexts of all requests of the connection.
 	cancel context.CancelFunc
 
-	closeOnce sync.Once
-	closed    chan struct{}
-	deadline  deadline
-
-	// current is the chunk that Read delivers, and unread the rest of its data.
-	current chunk
-	unread  []byte
-
-	// headArrived is the arrival of the newest chunk that net/http has parsed.
+	// headArrived is when the newest bytes arrived that net/http has parsed.
 	headArrived time.Time
 
 	// requestArrived is when the last byte of the head of the current request arrived.
 	requestArrived time.Time
-}
 
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, chunks: make(chan chunk, maxChunks), closed: make(chan struct{}), deadline: newDeadline()}
-}
+	closeOnce sync.Once
+	closed    chan struct{}
 
-// receive reads from the connection until it ends.
-func (c *conn) receive() {
-	defer close(c.chunks)
-	defer c.cancel()
-	for {
-		buffer := buffers.Get().(*[chunkSize]byte)
-		n, err := c.Conn.Read(buffer[:])
-		if n > 0 {
-			select {
-			case c.chunks <- chunk{data: buffer[:n], arrived: time.Now()}:
-			case <-c.closed:
-				c.receiveErr = net.ErrClosed
-				return
-			}
-		}
-		if err != nil {
-			c.receiveErr = err
-			return
-		}
-	}
+	// mu guards the choice of the connection that a read deadline applies to.
+	mu           sync.Mutex
+	readDeadline time.Time
+
+	// ahead is what the goroutine of the connection receives; nil until it has started.
+	ahead *ahead
 }
 
+func newConn(c net.Conn) *conn { return &conn{Conn: c, closed: make(chan struct{})} }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (n int, err error) {
-	if len(c.unread) == 0 {
-		if err := c.next(); err != nil {
-			return 0, err
-		}
+	arrived := time.Time{}
+	if c.ahead != nil {
+		n, arrived, err = c.ahead.read(p, c.closed)
+	} else {
+		n, err = c.Conn.Read(p)
+		arrived = time.Now()
 	}
-	n = copy(p, c.unread)
-	c.unread = c.unread[n:]
-	if len(p) > 1 {
-		// net/http watches the connection by reads of one byte while a handler runs. That byte
-		// begins a later request, and is parsed with the bytes that follow it.
-		c.headArrived = c.current.arrived
+	switch {
+	case len(p) > 1:
+		c.headArrived = arrived
+	case n == 1 && c.ahead == nil:
+		// The byte begins a later request, and is parsed with the bytes that follow it.
+		if err := c.receiveAhead(); err != nil {
+			return n, err
+		}
 	}
-	return n, nil
+	return n, err
 }
 
-// next waits for the next chunk.
-func (c *conn) next() (err error) {
-	select {
-	case received, open := <-c.chunks:
-		if !open {
-			return c.receiveErr
-		}
-		if cap(c.current.data) == chunkSize {
-			buffers.Put((*[chunkSize]byte)(c.current.data[:chunkSize]))
-		}
-		c.current, c.unread = received, received.data
-		return nil
-	case <-c.deadline.expired():
-		return os.ErrDeadlineExceeded
-	case <-c.closed:
-		return net.ErrClosed
+// receiveAhead starts the goroutine that receives behind the running request.
+func (c *conn) receiveAhead() (err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
 	}
+	c.ahead = newAhead()
+	c.ahead.deadline.set(c.readDeadline)
+	go func() {
+		defer c.cancel()
+		c.ahead.receive(c.Conn, c.closed)
+	}()
+	return nil
 }
 
 // Write implements net.Conn. It fails when the remote end takes nothing for stallTimeout.
@@ -157,49 +131,15 @@
 	return errors.Join(c.SetReadDeadline(t), c.Conn.SetWriteDeadline(t))
 }
 
-// SetReadDeadline implements net.Conn. The deadline ends Read, not the receiving goroutine.
+// SetReadDeadline implements net.Conn. The deadline ends Read, not the goroutine that receives
+// behind a request.
 func (c *conn) SetReadDeadline(t time.Time) (err error) {
-	c.deadline.set(t)
-	return nil
-}
-
-// deadline is a channel that is closed once a time has come, and replaced when a later time is
-// set after that.
-type deadline struct {
-	mu    sync.Mutex
-	timer *time.Timer
-	done  chan struct{}
-}
-
-func newDeadline() deadline { return deadline{done: make(chan struct{})} }
-
-func (d *deadline) expired() (done <-chan struct{}) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.done
-}
-
-// set replaces the time; the zero time means that there is no deadline.
-func (d *deadline) set(t time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.timer != nil && !d.timer.Stop() {
-		<-d.done // The timer is closing the channel.
-	}
-	d.timer = nil
-	left := time.Until(t)
-	select {
-	case <-d.done:
-		if t.IsZero() || left > 0 {
-			d.done = make(chan struct{})
-		}
-	default:
-		if !t.IsZero() && left <= 0 {
-			close(d.done)
-		}
-	}
-	if !t.IsZero() && left > 0 {
-		done := d.done
-		d.timer = time.AfterFunc(left, func() { close(done) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.ahead != nil {
+		c.ahead.deadline.set(t)
+		return nil
 	}
+	return c.Conn.SetReadDeadline(t)
 }
--- a/internal/mesh/accept/serve.go
+++ b/internal/mesh/accept/serve.go
@@ -59,11 +59,10 @@
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
-// connContext starts receiving, and returns the context of the connection's requests.
+// connContext returns the context of the connection's requests.
 func connContext(ctx context.Context, accepted net.Conn) (connected context.Context) {
 	c := accepted.(*conn)
 	ctx, c.cancel = context.WithCancel(context.WithValue(ctx, connKey{}, c))
-	go c.receive()
 	return ctx
 }
 
