--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -53,6 +53,10 @@
 // memory of the smallest hosts.
 const maxBufferedBytes = 48 << 20
 
+// loggedQueueing is the time on its connection above which a request's refusal says how long it
+// waited there.
+const loggedQueueing = 10 * time.Millisecond
+
 // unknownBodyBytes is the assumed size of a body of unknown length until it has been read.
 const unknownBodyBytes = 64 << 10
 
@@ -99,6 +103,7 @@
 	if !found {
 		return call, nil, mesh.NotRun(header.RouteUnknown, "host %q has no route for %s in rules version %d", host, r.URL.EscapedPath(), view.Rules.Version)
 	}
+	call.Queued = time.Since(arrived)
 	call.Route = route
 	call.Service = rules.ChooseService(route, rand.Float64())
 	call.AttemptsLeft = route.Retries
@@ -233,6 +238,9 @@
 		"request": call.CallerRequestID, "outcome": refusal.Outcome, "code": refusal.Code, "reason": refusal.Message,
 		"organisation": call.Organisation, "class": call.Class.String(), "latency-ms": m.Latency.Milliseconds(),
 	}
+	if call.Queued > loggedQueueing {
+		fields["queued-ms"] = call.Queued.Milliseconds()
+	}
 	if m.Overrun > 0 {
 		fields["overrun-ms"] = m.Overrun.Milliseconds()
 	}
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -211,6 +211,10 @@
 	// Deadline is on this host's clock. Between hosts, calls carry the remaining time.
 	Deadline time.Time
 
+	// Queued is how long the request waited on its connection before it was handled, behind
+	// other requests or for processor time.
+	Queued time.Duration
+
 	// AttemptsLeft is the remaining retry budget, which travels with the call. The
 	// node that handles the call may spend it; the rest returns with the answer.
 	AttemptsLeft int
