--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -72,7 +72,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), call.Deadline)
 	defer cancel()
-	body, refusal := rh.readBody(ctx, c, call)
+	body, refusal := rh.readBody(ctx, c)
 	defer rh.bufferedBytes.Add(-int64(cap(body)))
 	if refusal != nil {
 		return rh.finish(c, arrived, call, nil, refusal)
@@ -149,7 +149,7 @@
 }
 
 // readBody buffers the body of a request, so that the request can be retried.
-func (rh *requestHandler) readBody(ctx context.Context, c echo.Context, call *mesh.Call) (body []byte, refusal *mesh.Refusal) {
+func (rh *requestHandler) readBody(ctx context.Context, c echo.Context) (body []byte, refusal *mesh.Refusal) {
 	r, limit := c.Request(), rh.follow.View().Rules.Limits.MaxBodyBytes
 	if r.ContentLength != 0 && rh.bufferedBytes.Load()+max(min(r.ContentLength, limit), unknownBodyBytes) > maxBufferedBytes {
 		return nil, mesh.NotRun(header.NodeBusy, "the node has reached its limit for buffered request bodies")
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -33,7 +33,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
-	body, refusal := rh.readBody(ctx, c, call)
+	body, refusal := rh.readBody(ctx, c)
 	defer rh.bufferedBytes.Add(-int64(cap(body)))
 	if refusal != nil {
 		return writePeerRefusal(c, call, refusal)
