--- a/internal/mesh/accept/ahead.go
+++ b/internal/mesh/accept/ahead.go
@@ -8,6 +8,21 @@
 	"time"
 )
 
+const (
+	// chunkSize is the maximum number of bytes that are received at a time.
+	chunkSize = 2 << 10
+
+	// maxChunks is the capacity of the ring. While it is full, nothing more is read from the
+	// connection, and its close is not noticed.
+	maxChunks = 8
+)
+
+// chunk is a piece of what a connection has received.
+type chunk struct {
+	data    []byte
+	arrived time.Time
+}
+
 // ahead is what a connection has received behind a running request. One goroutine fills it, and
 // one at a time reads it.
 type ahead struct {
--- a/internal/mesh/accept/conn.go
+++ b/internal/mesh/accept/conn.go
@@ -12,23 +12,8 @@
 	"time"
 )
 
-const (
-	// chunkSize is the maximum number of bytes that are received at a time behind a request.
-	chunkSize = 2 << 10
-
-	// maxChunks is the maximum number of chunks that are received behind a request. While they
-	// are all used, nothing more is read from the connection, and its close is not noticed.
-	maxChunks = 8
-
-	// stallTimeout is how long a write may make no progress before the connection is given up.
-	stallTimeout = 5 * time.Second
-)
-
-// chunk is a piece of what a connection has received.
-type chunk struct {
-	data    []byte
-	arrived time.Time
-}
+// stallTimeout is how long a write may make no progress before the connection is given up.
+const stallTimeout = 5 * time.Second
 
 // conn is an accepted connection, of which net/http lets one goroutine at a time call Read.
 //
@@ -50,7 +35,7 @@
 	closeOnce sync.Once
 	closed    chan struct{}
 
-	// mu guards the choice of the connection that a read deadline applies to.
+	// mu guards the read deadline while it moves from the connection to ahead.
 	mu           sync.Mutex
 	readDeadline time.Time
 
@@ -62,7 +47,7 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (n int, err error) {
-	arrived := time.Time{}
+	var arrived time.Time
 	if c.ahead != nil {
 		n, arrived, err = c.ahead.read(p, c.closed)
 	} else {
