--- a/internal/mesh/accept/ahead.go
+++ b/internal/mesh/accept/ahead.go
@@ -39,7 +39,9 @@
 	unread  []byte
 }
 
-func newAhead() *ahead { return &ahead{chunks: make(chan chunk, maxChunks), deadline: newDeadline()} }
+func newAhead() (a *ahead) {
+	return &ahead{chunks: make(chan chunk, maxChunks), deadline: newDeadline()}
+}
 
 // receive reads from the connection until it ends.
 func (a *ahead) receive(source io.Reader, closed <-chan struct{}) {
@@ -98,7 +100,7 @@
 	done  chan struct{}
 }
 
-func newDeadline() deadline { return deadline{done: make(chan struct{})} }
+func newDeadline() (d deadline) { return deadline{done: make(chan struct{})} }
 
 func (d *deadline) expired() (done <-chan struct{}) {
 	d.mu.Lock()
--- a/internal/mesh/accept/conn.go
+++ b/internal/mesh/accept/conn.go
@@ -43,7 +43,7 @@
 	ahead *ahead
 }
 
-func newConn(c net.Conn) *conn { return &conn{Conn: c, closed: make(chan struct{})} }
+func newConn(accepted net.Conn) (c *conn) { return &conn{Conn: accepted, closed: make(chan struct{})} }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (n int, err error) {
