platform, node: tests of requests sent behind each other

The catalogue mesh sends idempotent requests before the first one is answered. Answers come in the order of the requests, each with its own result, and nothing behind an answer that closes the connection runs afterwards or is answered in part. Both hold today; with a node that gives an answer another id, and one that runs a request behind a closing answer, the tests of platform/ fail.

--- a/internal/mesh/node/conn_test.go
+++ b/internal/mesh/node/conn_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/quetzalstack/quetzalstack/internal/sample"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
@@ -64,3 +68,66 @@
 		})
 	}
 }
+
+// TestPipelinedRequests guards against answers in another order than the requests of their
+// connection, and against requests that run behind an answer that closes the connection.
+func TestPipelinedRequests(t *testing.T) {
+	target := newScriptedTarget(t, func(n int, conn net.Conn, r *http.Request) bool {
+		time.Sleep(time.Duration(n%4) * 10 * time.Millisecond)
+		return answerID(n, conn, r)
+	})
+	r := newNodeFixture(t, target.addr())
+	text := func(id, path, more string) string {
+		return fmt.Sprintf("GET /ledger/%s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key\r\n%s: %s\r\n%s\r\n", path, header.RequestID, id, more)
+	}
+	conn, err := net.Dial("tcp", r.settings.CallerListen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	var sent string
+	var ids []string
+	for i := range 12 {
+		id, path, more := uuid.Must(uuid.NewV7()).String(), "read", ""
+		if i%5 == 3 {
+			path = "none"
+		}
+		if i == 9 {
+			more = "Connection: close\r\n"
+		}
+		ids = append(ids, id)
+		sent += text(id, path, more)
+	}
+	if _, err := io.WriteString(conn, sent); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	answers := bufio.NewReader(conn)
+	for i, id := range ids[:10] {
+		answer, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		body, err := io.ReadAll(answer.Body)
+		if err != nil {
+			t.Errorf("answer %d: %v", i, err)
+		}
+		if !strings.Contains(string(body), id) {
+			t.Errorf("answer %d: got %q, want the answer to %q", i, body, id)
+		}
+		if got, want := answer.StatusCode == http.StatusOK, i%5 != 3; got != want {
+			t.Errorf("answer %d: got status %d", i, answer.StatusCode)
+		}
+	}
+	if _, err := answers.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("behind the closing answer: got %v, want %v", err, io.EOF)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, id := range ids[10:] {
+		if got := target.receivedCount(id); got != 0 {
+			t.Errorf("request %s behind the closing answer: got %d runs, want none", id, got)
+		}
+	}
+}
