quota: let few hosts of each zone hold a contract

Cause: each host kept a bucket of its own for each contract. At the same time each bucket held at least one token, so that many hosts together exceeded a small contract (TestOverRate/many_hosts,_small).

Change: a contract is held by one to three hosts of each zone, chosen by rendezvous hashing over the live hosts of the zone, one for each 12 requests of its window. Other hosts ask a holder by a datagram; one that does not answer in 50 ms is avoided for a second and the next one is asked, three at most, and then the request is refused as not run. A holder that leaves hands over when its state is known. Heartbeats carry the usage of held contracts alone. A host that is cut off from most of its zone does not let its share grow. A share grows only once all reports are newer than the growth, and a budget bounds what is admitted in the time that reports do not cover. While a host is silent it keeps its share of the demand, however the demand of the others grows.

Ruled out: a bound on the budget alone, without the buckets: it exceeds contracts after a cut and refuses more when callers move (trials).

--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -105,7 +105,7 @@
 	self := mesh.Host{Addr: s.PeerAddr, Zone: s.Zone, Incarnation: mesh.NewIncarnation(time.Now()), State: mesh.HostAlive}
 	follow := newFollowDuty(vars, logs.WithPrefix(l, "follow"))
 	member := newMemberDuty(vars, self, logs.WithPrefix(l, "member"))
-	quotas := newQuotaDuty(vars)
+	quotas := newQuotaDuty(vars, socket, s.PeerAddr, logs.WithPrefix(l, "quota"))
 	gates := newGateDuty(vars, s, logs.WithPrefix(l, "gate"))
 	picker := newPickerDuty(vars, s, member)
 	fetch := newFetchDuty(vars, a.platform.Source, follow, logs.WithPrefix(l, "fetch"))
@@ -123,7 +123,7 @@
 		follow, member, quotas, gates, picker, fetch, probe, measures,
 		&watchDuty{source: a.platform.Source, follow: follow, log: logs.WithPrefix(l, "watch")},
 		&joinDuty{registry: a.platform.Registry, self: self, member: member, log: logs.WithPrefix(l, "join")},
-		&receiverDuty{socket: socket, member: member, log: logs.WithPrefix(l, "ear")},
+		&receiverDuty{socket: socket, member: member, quota: quotas, log: logs.WithPrefix(l, "ear")},
 	}
 	a.servers = a.newServers(fetch, member)
 }
--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"expvar"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -49,10 +51,9 @@
 	broadcastsLeft int
 	lastTick       time.Time
 
-	// reportedHosts is the number of hosts last reported to the quota duty; zero before the
-	// first report.
-	reportedHosts int
-	beats         *expvar.Int
+	// reported is the view last reported to the quota duty; nil before the first report.
+	reported *fleet.View
+	beats    *expvar.Int
 
 	// sendFailing is true while sending on the socket fails.
 	sendFailing bool
@@ -151,29 +152,40 @@
 		d.announce(ctx, now, e)
 	case listedHosts:
 		for _, h := range e.hosts {
-			if d.state.AddHost(h) {
+			if d.state.AddHost(now, h) {
 				d.broadcastsLeft = max(d.broadcastsLeft, 1)
 			}
 		}
 		d.publish(now)
-		d.reportHostCount(ctx)
+		d.reportFleet(ctx)
 	case configChanged:
 		d.state.SetZonesOut(e.ZonesOut)
 		d.publish(now)
 	case leaving:
 		d.state.Drain()
 		d.publish(now)
+		d.reportFleet(ctx)
 		d.broadcast(ctx, now)
 	}
 }
 
-// reportHostCount reports the number of hosts that share the contracts to the quota duty, when
-// it has changed.
-func (d *memberDuty) reportHostCount(ctx context.Context) {
-	if known := d.View().FleetSize; known != d.reportedHosts {
-		d.reportedHosts = known
-		_ = d.quota.events.Send(ctx, knownHosts{hosts: known})
+// reportFleet reports the fleet to the quota duty when it has changed. A node that has just started
+// waits until it knows most of the hosts that others know: until then it would take itself for a
+// holder of each contract.
+func (d *memberDuty) reportFleet(ctx context.Context) {
+	v := d.View()
+	if d.reported == nil && 2*d.state.KnownHosts() < v.FleetSize {
+		return
+	}
+	if r := d.reported; r != nil && slices.Equal(r.Candidates, v.Candidates) && maps.Equal(r.ZoneSizes, v.ZoneSizes) {
+		return
 	}
+	self := d.state.Self()
+	d.reported = v
+	_ = d.quota.events.Send(ctx, fleetChanged{fleet: quota.Fleet{
+		Self: self.Addr, Candidates: v.Candidates, ZoneSize: v.ZoneSizes[self.Zone],
+		ZoneSizes: slices.Sorted(maps.Values(v.ZoneSizes)), ReportInterval: v.HeartbeatInterval,
+	}})
 }
 
 func (d *memberDuty) receive(ctx context.Context, now time.Time, b *beat.Beat) {
@@ -184,7 +196,7 @@
 			d.log.InfoFields("a host joined", logs.Fields{"host": b.Host.Addr.String(), "zone": b.Host.Zone})
 		}
 	}
-	d.reportHostCount(ctx)
+	d.reportFleet(ctx)
 	d.quota.events.Offer(usageReceived{report: b.Usage})
 	d.compareConfig(b)
 }
@@ -255,6 +267,9 @@
 	}
 	if d.state.ExpireHosts(now, d.lastTick) {
 		d.publish(now)
+		if d.reported != nil {
+			d.reportFleet(ctx)
+		}
 	}
 	d.lastTick = now
 	d.sendDue(ctx, now)
@@ -313,10 +328,11 @@
 	}
 }
 
-// receiverDuty receives the heartbeats of other hosts.
+// receiverDuty receives the datagrams of other hosts.
 type receiverDuty struct {
 	socket *net.UDPConn
 	member *memberDuty
+	quota  *quotaDuty
 	log    logs.Log
 }
 
@@ -341,14 +357,36 @@
 			d.log.Warnf("ignored a datagram from %v: larger than %d bytes.", from, beat.MaxBytes)
 			continue
 		}
-		b, err := beat.Decode(time.Now(), buffer[:n])
-		if err != nil {
+		if err := d.dispatch(time.Now(), buffer[:n]); err != nil {
 			d.log.Warnf("ignored an invalid datagram from %v: %v.", from, err)
-			continue
+		}
+	}
+	return nil
+}
+
+// dispatch passes a datagram to the duty that it is for. A full ring drops it like the network.
+func (d *receiverDuty) dispatch(now time.Time, data []byte) (err error) {
+	switch {
+	case beat.IsAsk(data):
+		a, err := beat.DecodeAsk(data)
+		if err != nil {
+			return err
+		}
+		d.quota.events.Offer(askReceived{ask: a})
+	case beat.IsVerdict(data):
+		v, err := beat.DecodeVerdict(data)
+		if err != nil {
+			return err
+		}
+		d.quota.events.Offer(verdictReceived{verdict: v})
+	default:
+		b, err := beat.Decode(now, data)
+		if err != nil {
+			return err
 		}
 		received := heartbeatReceived{beat: b}
 		if b.Relay {
-			received.datagram = bytes.Clone(buffer[:n])
+			received.datagram = bytes.Clone(data)
 		}
 		d.member.events.Offer(received)
 	}
--- a/internal/mesh/beat/beat.go
+++ b/internal/mesh/beat/beat.go
@@ -1,5 +1,5 @@
-// Package beat encodes heartbeats, the UDP datagrams in which each node sends its
-// state to the other nodes of the fleet.
+// Package beat encodes the UDP datagrams between nodes: heartbeats, in which each node sends its
+// state to the others, and the asks and verdicts on admissions under contracts.
 package beat
 
 import (
@@ -47,10 +47,13 @@
 	Relay bool
 }
 
-// The first byte of a datagram is a flag: whether the receiver relays it.
+// The first byte of a datagram says what it holds: a heartbeat, one that the receiver relays, an
+// ask or a verdict.
 const (
-	flagFinal = 0
-	flagRelay = 1
+	flagFinal = iota
+	flagRelay
+	flagAsk
+	flagVerdict
 )
 
 // Relayed returns the datagram in which a receiver relays a heartbeat. It is not relayed again.
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -45,6 +45,10 @@
 	// for that time, in case it is running on the other side of a network partition.
 	hostRetention = 10 * time.Minute
 
+	// listedTime is how long a listed host that has sent no heartbeat yet is expected to run. All
+	// hosts send several heartbeats in that time.
+	listedTime = 2 * time.Second
+
 	// reportTimeout is the time without a report after which a target receives no more
 	// requests. Targets report about every 1.5 s, and reports may be seconds late.
 	reportTimeout = 8 * time.Second
@@ -94,6 +98,9 @@
 type host struct {
 	mesh.Host
 
+	// listed is when the host was found in the host list; zero when a heartbeat came first.
+	listed time.Time
+
 	// lastHeartbeat is the arrival time of the last heartbeat; zero when there was none.
 	lastHeartbeat time.Time
 
@@ -116,6 +123,16 @@
 	// FleetSize is the number of hosts, this one included, silent or not. A node that has
 	// just started learns it from the heartbeats of the others.
 	FleetSize int
+
+	// Candidates holds the hosts of this host's zone that can hold contracts, sorted, this one
+	// included unless it is leaving.
+	Candidates []netip.AddrPort
+
+	// ZoneSizes holds the number of known hosts of each zone, silent or not.
+	ZoneSizes map[mesh.ZoneName]int
+
+	// HeartbeatInterval is the interval of the heartbeats to other zones, the longest one.
+	HeartbeatInterval time.Duration
 }
 
 // New returns the state of a node that knows only its own host.
@@ -136,11 +153,11 @@
 }
 
 // AddHost adds a host from the host list. It reports whether the host is new.
-func (s *State) AddHost(h mesh.Host) (added bool) {
+func (s *State) AddHost(now time.Time, h mesh.Host) (added bool) {
 	if h.Addr == s.self.Addr || s.hosts[h.Addr] != nil {
 		return false
 	}
-	s.hosts[h.Addr] = &host{Host: mesh.Host{Addr: h.Addr, Zone: h.Zone, State: mesh.HostSuspect}}
+	s.hosts[h.Addr] = &host{Host: mesh.Host{Addr: h.Addr, Zone: h.Zone, State: mesh.HostSuspect}, listed: now}
 	return true
 }
 
@@ -328,7 +345,7 @@
 // whether a host became silent between before and now.
 func (s *State) ExpireHosts(now, before time.Time) (changed bool) {
 	for _, h := range s.hosts {
-		changed = changed || !s.silent(before, h) && s.silent(now, h)
+		changed = changed || !s.silent(before, h) && s.silent(now, h) || s.expected(before, h) && !s.expected(now, h)
 	}
 	maps.DeleteFunc(s.hosts, func(_ netip.AddrPort, h *host) bool {
 		return !h.lastHeartbeat.IsZero() && now.Sub(h.lastHeartbeat) > hostRetention
@@ -340,13 +357,40 @@
 	return h.lastHeartbeat.IsZero() || now.Sub(h.lastHeartbeat) > maxMissed*s.interval(h.Zone)+minInterval
 }
 
+// expected reports whether a host is running as far as this node knows.
+func (s *State) expected(now time.Time, h *host) bool {
+	return !s.silent(now, h) || h.lastHeartbeat.IsZero() && now.Sub(h.listed) <= listedTime
+}
+
+// addZones adds what the placement of contracts depends on.
+func (s *State) addZones(now time.Time, v *View) {
+	v.ZoneSizes[s.self.Zone]++
+	if canHold(s.self) {
+		v.Candidates = append(v.Candidates, s.self.Addr)
+	}
+	for addr, h := range s.hosts {
+		v.ZoneSizes[h.Zone]++
+		if h.Zone == s.self.Zone && canHold(h.Host) && s.expected(now, h) {
+			v.Candidates = append(v.Candidates, addr)
+		}
+	}
+	slices.SortFunc(v.Candidates, netip.AddrPort.Compare)
+	v.HeartbeatInterval = time.Duration(crossZoneFactor * float64(s.interval(s.self.Zone)))
+}
+
+// canHold reports whether a host can hold contracts: one that leaves hands its part over while it
+// still answers.
+func canHold(h mesh.Host) bool { return h.State != mesh.HostDraining && h.State != mesh.HostLeft }
+
 // View returns the current snapshot of the fleet.
 func (s *State) View(now time.Time) (v *View) {
 	v = &View{
 		Targets:   make(map[mesh.ServiceName][]mesh.Endpoint),
 		Peers:     make(map[netip.AddrPort]mesh.Host, len(s.hosts)),
 		FleetSize: s.KnownHosts(),
+		ZoneSizes: make(map[mesh.ZoneName]int),
 	}
+	s.addZones(now, v)
 	v.add(s.self, s.zonesOut)
 	var silent []mesh.Host
 	for _, h := range s.hosts {
--- a/internal/mesh/fleet/relay_test.go
+++ b/internal/mesh/fleet/relay_test.go
@@ -38,7 +38,7 @@
 	}
 	for _, s := range n.nodes {
 		for _, addr := range n.order {
-			s.AddHost(n.nodes[addr].Self())
+			s.AddHost(n.now, n.nodes[addr].Self())
 		}
 	}
 	return n
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -1,7 +1,7 @@
-// Package quota enforces the rate limit of each organisation over all hosts. Each node
-// admits requests from a local token bucket. The refill rate and capacity of the bucket
-// follow from this node's share of the organisation's demand, which the nodes report to
-// each other.
+// Package quota enforces the rate limit of each organisation over all hosts. A contract is held
+// by some hosts of each zone, the more the larger it is; the others ask one of them. Each holder
+// admits requests from a local token bucket. The refill rate and capacity of the bucket follow
+// from its share of the organisation's demand, which the holders report to each other.
 package quota
 
 import (
@@ -29,15 +29,26 @@
 	// boosted.
 	boostThreshold = 0.9
 
+	// equalFraction is the fraction of each contract that is divided equally among its holders,
+	// so that each of them can admit a surge at once. The rest follows the demand.
+	equalFraction = 0.5
+
+	// marginFraction of the allowance plus marginTokens is what all holders together may admit
+	// beyond the allowance. It is well below what operators tolerate, which is a tenth and 20
+	// requests, and keeps small contracts from being refused when two requests coincide.
+	marginFraction = 0.02
+	marginTokens   = 4
+
+	// reportSlack is the number of slots that a report may be older than the interval between
+	// reports: it is on its way, and both ends count whole slots.
+	reportSlack = 2
+
 	// surgeSlots is the number of slots over which a surge is measured: about two reports.
 	surgeSlots = 3
 
-	// reportTimeout is the time without a report after which a host may be on the other side
-	// of a network partition. Its requests are then estimated higher by the fraction
-	// silentMargin: both sides of a partition exceed the allowance by what they admit
-	// between two reports.
-	reportTimeout = 4 * slotLength
-	silentMargin  = 0.12
+	// silentMargin is the fraction by which the requests at a silent host are estimated higher.
+	// It may be on the other side of a network partition, where the demand grows.
+	silentMargin = 0.12
 
 	// boostFactor multiplies a node's share of the rate while little of the allowance is
 	// used. The capacity of its bucket is then its share of the remaining allowance, and at
@@ -46,9 +57,14 @@
 	// rate for half a second.
 	boostFactor = 1.5
 
+	// isolatedFraction is the fraction of its zone below which a host that reaches no more of it
+	// counts as cut off. The requests of its callers now come to itself instead of a holder, so
+	// its share of the demand does not grow; all such hosts together would exceed the contract.
+	isolatedFraction = 0.5
+
 	// slackTokens is the number of tokens by which the capacities of all buckets together
 	// exceed the remaining allowance, for organisations whose allowance is a few requests.
-	slackTokens = 28
+	slackTokens = 16
 
 	// minDemandPeriod is the minimum time over which the demand is averaged after a start. A
 	// few requests in a shorter time are not significant.
@@ -74,17 +90,12 @@
 	// holds while most of the allowance is used.
 	limitedBurstFraction = 0.1
 
-	// minHostDemand is the minimum demand assumed for each host, in requests per second, so
-	// that an idle host can admit a first request. For all hosts together it is at most
-	// maxIdleFraction of the rate: a small organisation has callers at few hosts of a large
-	// fleet.
-	minHostDemand   = 0.5
+	// minHolderDemand is the minimum demand assumed for each holder, in requests per second, so
+	// that an idle one can admit a first request. For all holders together it is at most
+	// maxIdleFraction of the rate: a small organisation may have callers in few zones.
+	minHolderDemand = 0.5
 	maxIdleFraction = 0.1
 
-	// increaseDelay is how long a node's share must have been larger before the increase is
-	// used. Within that time the other hosts receive the demand and lower their shares.
-	increaseDelay = 500 * time.Millisecond
-
 	// activeTime is how long after its last request an organisation is in every report, so
 	// that the loss of one report does no harm. Every fullReportEvery-th report holds all
 	// organisations.
@@ -120,10 +131,13 @@
 	accounts map[mesh.OrganisationName]*account
 	hosts    map[netip.AddrPort]*remoteHost
 
-	// fleetSize is the number of hosts, this one included; zero while not known.
-	fleetSize   int
+	fleet       Fleet
 	reportsSent int
 	lastTick    time.Time
+
+	// unresponsive holds the hosts that did not answer lately, with the time until which they
+	// are avoided.
+	unresponsive map[netip.AddrPort]time.Time
 }
 
 // account is the token bucket of one organisation at this node, with the counts that
@@ -142,12 +156,21 @@
 	// lastRequest is the arrival time of the last request.
 	lastRequest time.Time
 
+	// budget is the number of requests that this holder may admit in the time that reports of
+	// the other holders do not cover yet.
+	budget float64
+
 	// created is when this node first received the contract.
 	created time.Time
 
-	// demandShares holds this node's share of the demand in the last slots; the smallest one
-	// is used.
-	demandShares [increaseDelay / slotLength]float64
+	// asked holds the hosts that this node asks for admissions, in this order; nil until it is
+	// needed.
+	asked []netip.AddrPort
+
+	// demandShares holds this node's share of the demand in the last slots. The smallest one
+	// since the oldest report in use counts: by then the other holders have received the demand
+	// and lowered their shares.
+	demandShares [windowSlots]float64
 
 	// remoteAdmitted is the number of requests that all other hosts admitted in the last
 	// window, including the estimate for the time since their last reports.
@@ -168,6 +191,9 @@
 type remoteUsage struct {
 	last              Usage
 	offered, admitted estimate
+
+	// share is the host's share of the demand when it last reported.
+	share float64
 }
 
 // estimate counts the requests at another host. It is exact up to the host's last report;
@@ -246,7 +272,10 @@
 // New returns a rate limiter without contracts. It rejects all requests under a contract
 // until it knows how many hosts share it.
 func New() (b *RateLimiter) {
-	return &RateLimiter{accounts: make(map[mesh.OrganisationName]*account), hosts: make(map[netip.AddrPort]*remoteHost)}
+	return &RateLimiter{
+		accounts: make(map[mesh.OrganisationName]*account), hosts: make(map[netip.AddrPort]*remoteHost),
+		unresponsive: make(map[netip.AddrPort]time.Time),
+	}
 }
 
 // Configure replaces the contracts. A contract with a rate of zero has no limit.
@@ -256,37 +285,23 @@
 		named[c.Organisation] = true
 		a, found := b.accounts[c.Organisation]
 		if !found {
-			a = &account{refilled: now, created: now}
-			a.assumeEqualShare(b.fleetSize)
+			a = &account{contract: c, refilled: now, created: now}
+			a.assumeEqualShare(&b.fleet)
 			b.accounts[c.Organisation] = a
 		}
-		changed := a.contract != c
-		a.contract = c
-		if changed {
+		if changed := !found || a.contract != c; changed {
+			a.contract, a.asked = c, nil
 			b.resize(now, a)
 		}
 	}
 	maps.DeleteFunc(b.accounts, func(name mesh.OrganisationName, _ *account) bool { return !named[name] })
 }
 
-// SetFleetSize sets the number of hosts, this one included.
-func (b *RateLimiter) SetFleetSize(now time.Time, hosts int) {
-	first := b.fleetSize == 0
-	b.fleetSize = max(1, hosts)
-	if !first {
-		return
-	}
-	for _, a := range b.accounts {
-		a.assumeEqualShare(b.fleetSize)
-		b.resize(now, a)
-	}
-}
-
 // assumeEqualShare sets the share of a node that has no information on the demand to an
 // equal share.
-func (a *account) assumeEqualShare(hosts int) {
+func (a *account) assumeEqualShare(f *Fleet) {
 	for i := range a.demandShares {
-		a.demandShares[i] = 1 / float64(max(1, hosts))
+		a.demandShares[i] = 1 / float64(f.holders(a))
 	}
 }
 
@@ -385,10 +400,15 @@
 	}
 	for name, a := range b.accounts {
 		copy(a.demandShares[1:], a.demandShares[:])
-		a.demandShares[0] = b.demandShare(name, a)
+		if share := b.demandShare(now, name, a); share < a.demandShares[1] || !b.isolated() {
+			a.demandShares[0] = share
+		}
 	}
 }
 
+// isolated reports whether this host is cut off from most of its zone.
+func (b *RateLimiter) isolated() bool { return b.fleet.reachable() < isolatedFraction }
+
 // totalDemand returns the demand at all hosts since this node started, in requests per
 // second. It is known once most hosts have reported; the others are assumed to have the
 // mean demand.
@@ -404,50 +424,85 @@
 			requests += u.offered.total(windowSlots)
 		}
 	}
-	requests *= max(1, float64(b.fleetSize)/float64(reporting))
-	return requests / max(minDemandPeriod, now.Sub(a.created)).Seconds(), 2*reporting > b.fleetSize
+	requests *= max(1, float64(b.fleet.Size())/float64(reporting))
+	return requests / max(minDemandPeriod, now.Sub(a.created)).Seconds(), 2*reporting > b.fleet.Size()
 }
 
-// demandShare returns this node's share of an organisation's demand, from 0 to 1.
-func (b *RateLimiter) demandShare(name mesh.OrganisationName, a *account) (share float64) {
-	minDemand := min(minHostDemand, maxIdleFraction*a.contract.Rate/float64(max(1, b.fleetSize)))
+// demandShare returns this node's share of an organisation's demand, from 0 to 1. A silent host
+// keeps the share that it had, whatever the demand at the others: it may be on the other side of
+// a network partition, where the demand grows as well.
+func (b *RateLimiter) demandShare(now time.Time, name mesh.OrganisationName, a *account) (share float64) {
+	holders := float64(b.fleet.holders(a))
+	minDemand := min(minHolderDemand, maxIdleFraction*a.contract.Rate/holders)
 	own := a.offered.demand() + minDemand
-	total := own
+	total := own + (holders-1)*minDemand
+	reserved := 0.0
 	for _, h := range b.hosts {
-		total += minDemand
-		if u := h.usage[name]; u != nil {
+		u := h.usage[name]
+		switch {
+		case u == nil:
+		case b.silent(now, h):
+			reserved += u.share
+		default:
 			total += u.offered.demand()
 		}
 	}
+	reserved = min(1, reserved)
 	// Hosts that have not reported yet are assumed to have the mean demand.
-	if missing := b.fleetSize - 1 - len(b.hosts); missing > 0 {
+	if missing := b.fleet.Size() - 1 - len(b.hosts); missing > 0 {
 		total += float64(missing) * total / float64(len(b.hosts)+1)
 	}
-	return own / total
+	for _, h := range b.hosts {
+		if u := h.usage[name]; u != nil && !b.silent(now, h) {
+			u.share = (1 - reserved) * u.offered.demand() / total
+		}
+	}
+	return (1 - reserved) * own / total
+}
+
+// silent reports whether a host's reports are overdue.
+func (b *RateLimiter) silent(now time.Time, h *remoteHost) bool {
+	return now.Sub(h.lastReport) > time.Duration(b.uncoveredSlots())*slotLength
 }
 
-// resize sets the refill rate and the capacity of a bucket.
+// uncoveredSlots returns the number of newest slots that the reports of other holders do not
+// cover yet.
+func (b *RateLimiter) uncoveredSlots() (slots int) {
+	slots = int((b.fleet.ReportInterval+slotLength-1)/slotLength) + reportSlack
+	return min(slots, windowSlots)
+}
+
+// resize sets the refill rate and the capacity of a bucket, and its budget.
+//
+// The holders know what was admitted in a window but for its newest slots, which their reports do
+// not cover. In these, each holder admits at most its share of what the earlier slots have left of
+// the allowance, however fast the demand grows.
 func (b *RateLimiter) resize(now time.Time, a *account) {
 	a.refill(now)
 	a.remoteAdmitted = 0
+	uncovered := b.uncoveredSlots()
+	covered := a.admitted.total(windowSlots) - a.admitted.total(uncovered)
 	for _, h := range b.hosts {
 		u := h.usage[a.contract.Organisation]
 		if u == nil {
 			continue
 		}
 		admitted := u.admitted.total(windowSlots)
-		if age := now.Sub(h.lastReport); age > reportTimeout {
+		if b.silent(now, h) {
 			admitted += silentMargin * admitted
 		} else {
-			admitted += u.admitted.surgeExcess(age)
+			admitted += u.admitted.surgeExcess(now.Sub(h.lastReport))
 		}
 		a.remoteAdmitted += admitted
+		covered += admitted - u.admitted.total(uncovered)
 	}
-	if b.fleetSize == 0 {
+	if b.fleet.Size() == 0 {
 		return
 	}
-	share := slices.Min(a.demandShares[:])
-	capacityShare := max(share, 1/float64(b.fleetSize))
+	share, reachable := slices.Min(a.demandShares[:uncovered-1]), b.fleet.reachable()
+	equalShare := reachable / float64(b.fleet.holders(a))
+	capacityShare := max(share, equalShare)
+	a.budget = (equalFraction*equalShare + (1-equalFraction)*share) * ((1+marginFraction)*a.allowance() + marginTokens - covered)
 	remaining := boostThreshold*a.allowance() - a.admitted.total(windowSlots) - a.remoteAdmitted
 	switch {
 	case now.Sub(a.created) < window:
@@ -467,7 +522,9 @@
 	default:
 		a.rate, a.capacity = share*a.allowance()/window.Seconds(), share*a.contract.Burst*limitedBurstFraction
 	}
-	a.capacity = max(1, a.capacity)
+	if !b.isolated() {
+		a.capacity = max(1, a.capacity)
+	}
 	a.tokens = min(a.tokens, a.capacity)
 }
 
@@ -491,7 +548,7 @@
 	if !found || a.contract.Rate == 0 {
 		return nil
 	}
-	if b.fleetSize == 0 {
+	if b.fleet.Size() == 0 {
 		refusal = mesh.NotRun(header.NoSettings, "the node has just started and does not know yet how many hosts share the rate limit of organisation %q", name)
 		refusal.RetryAfter = startRetryAfter
 		return refusal
@@ -500,7 +557,7 @@
 	a.usage.Offered++
 	a.offered[0]++
 	a.refill(now)
-	if a.tokens < 1 || a.admitted.total(windowSlots)+a.remoteAdmitted >= a.allowance() {
+	if !b.mayAdmit(now, a) {
 		refusal = mesh.NotRun(header.RateExceeded, "organisation %q exceeds its rate limit of %g requests per second", name, a.contract.Rate)
 		refusal.RetryAfter = a.retryAfter()
 		return refusal
@@ -511,6 +568,19 @@
 	return nil
 }
 
+// mayAdmit reports whether one more request of an organisation may be admitted.
+func (b *RateLimiter) mayAdmit(now time.Time, a *account) bool {
+	switch {
+	case a.tokens < 1, a.admitted.total(windowSlots)+a.remoteAdmitted >= a.allowance():
+		return false
+	case now.Sub(a.created) < window:
+		// What the others admitted in the window is not known yet, and the bucket is small.
+		return true
+	default:
+		return a.admitted.total(b.uncoveredSlots())+1 <= a.budget
+	}
+}
+
 // retryAfter returns the delay after which a retry is likely to get a token. While the
 // demand exceeds the rate, that is the whole window.
 func (a *account) retryAfter() (after time.Duration) {
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -18,21 +18,35 @@
 // reads the host list with three calls to a store that answers in some 10 ms.
 const hostListDelay = 40 * time.Millisecond
 
+// silentAfter is the time without a report after which a host counts as silent.
+const silentAfter = 1800 * time.Millisecond
+
+// maxAsks is the number of hosts that a host asks for one admission.
+const maxAsks = 3
+
 // host is one node of a simulated fleet.
 type host struct {
 	addr        netip.AddrPort
+	zone        int
 	limiter     *RateLimiter
 	incarnation mesh.Incarnation
 
 	// demand is in requests per second.
 	demand float64
 
-	// partitioned hosts exchange no reports with the others. Hosts that are down get no
-	// requests either.
-	partitioned, down bool
+	// side is the side of a network partition on which the host is. Hosts on different sides
+	// exchange nothing.
+	side int
 
-	// hostsKnownAt is when the node learns the number of hosts.
+	// A host that is down gets no requests and exchanges nothing.
+	down bool
+
+	// hostsKnownAt is when the node learns the hosts of the fleet.
 	hostsKnownAt time.Time
+
+	// heard is when the node last received a report of each host. A host that is on the list and
+	// has not reported yet counts from the start of the node.
+	heard map[*host]time.Time
 }
 
 // simulation is a simulated fleet on a virtual clock: Poisson arrivals at each host and a
@@ -46,33 +60,92 @@
 	// reportSteps is the number of steps between two reports of a host.
 	reportSteps int
 
+	// zoneSizes and byZone hold the number of hosts and the hosts of each zone, byAddr all hosts.
+	zoneSizes []int
+	byZone    [][]*host
+	byAddr    map[netip.AddrPort]*host
+
 	// admitted and refused hold the number of requests in each step.
 	admitted, refused []int
 }
 
 func newSimulation(seed uint64, hosts int, demand float64, c mesh.Contract) (r *simulation) {
-	r = &simulation{random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1e9, 0), contract: c, reportSteps: 30}
+	r = &simulation{
+		random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1e9, 0), contract: c, reportSteps: 30,
+		zoneSizes: make([]int, zonesOf(hosts)), byZone: make([][]*host, zonesOf(hosts)), byAddr: make(map[netip.AddrPort]*host),
+	}
 	if hosts > 32 {
 		// Heartbeat intervals of large fleets are 0.33 s within a zone and 0.54 s between zones.
 		r.reportSteps = 54
 	}
 	for i := range hosts {
-		h := &host{addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000), demand: demand / float64(hosts)}
+		h := &host{addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000), demand: demand / float64(hosts), zone: i % len(r.zoneSizes)}
 		r.hosts = append(r.hosts, h)
+		r.byAddr[h.addr] = h
+		r.zoneSizes[h.zone]++
+		r.byZone[h.zone] = append(r.byZone[h.zone], h)
+	}
+	for _, h := range r.hosts {
 		r.start(h)
 	}
 	return r
 }
 
+// zonesOf returns the number of zones of a fleet, as in the deployments of that size.
+func zonesOf(hosts int) (zones int) {
+	switch {
+	case hosts < 16:
+		return 3
+	case hosts < 32:
+		return 4
+	default:
+		return 5
+	}
+}
+
 func (r *simulation) start(h *host) {
-	h.limiter, h.incarnation, h.hostsKnownAt = New(), h.incarnation+1, r.now
-	h.limiter.SetFleetSize(r.now, len(r.hosts))
+	r.boot(h)
+	h.limiter.SetFleet(r.now, r.fleet(h))
 	h.limiter.Configure(r.now, []mesh.Contract{r.contract})
 }
 
+func (r *simulation) boot(h *host) {
+	h.limiter, h.incarnation, h.hostsKnownAt, h.heard = New(), h.incarnation+1, r.now, make(map[*host]time.Time, len(r.hosts))
+	for _, other := range r.hosts {
+		h.heard[other] = r.now
+	}
+}
+
+// fleet returns the fleet as a host sees it.
+func (r *simulation) fleet(h *host) (f Fleet) {
+	f = Fleet{Self: h.addr, ZoneSize: r.zoneSizes[h.zone], ZoneSizes: r.zoneSizes, ReportInterval: time.Duration(r.reportSteps) * step}
+	for _, other := range r.byZone[h.zone] {
+		if other == h || r.now.Sub(h.heard[other]) < silentAfter {
+			f.Candidates = append(f.Candidates, other.addr)
+		}
+	}
+	return f
+}
+
+// admit has a request admitted that comes to a host.
+func (r *simulation) admit(h *host) (admitted bool) {
+	for range maxAsks {
+		to := r.byAddr[h.limiter.Holder(r.now, r.contract.Organisation)]
+		if to == nil || to == h {
+			return h.limiter.Admit(r.now, r.contract.Organisation) == nil
+		}
+		if !to.down && to.side == h.side && to.limiter.Holds(r.contract.Organisation) {
+			return to.limiter.Admit(r.now, r.contract.Organisation) == nil
+		}
+		h.limiter.HolderFailed(r.now, to.addr)
+	}
+	return false
+}
+
 // restart starts a node that reads its contracts before the host list.
 func (r *simulation) restart(h *host) {
-	h.limiter, h.incarnation, h.hostsKnownAt = New(), h.incarnation+1, r.now.Add(hostListDelay)
+	r.boot(h)
+	h.hostsKnownAt = r.now.Add(hostListDelay)
 	h.limiter.Configure(r.now, []mesh.Contract{r.contract})
 }
 
@@ -86,16 +159,19 @@
 				continue
 			}
 			for range r.arrivals(h.demand * step.Seconds()) {
-				if h.limiter.Admit(r.now, r.contract.Organisation) == nil {
+				if r.admit(h) {
 					r.admitted[n]++
 				} else {
 					r.refused[n]++
 				}
 			}
 			if r.now.Equal(h.hostsKnownAt) {
-				h.limiter.SetFleetSize(r.now, len(r.hosts))
+				h.limiter.SetFleet(r.now, r.fleet(h))
 			}
 			if n%25 == i%25 {
+				if !r.now.Before(h.hostsKnownAt) {
+					h.limiter.SetFleet(r.now, r.fleet(h))
+				}
 				h.limiter.Tick(r.now)
 			}
 			if n%r.reportSteps == i%r.reportSteps {
@@ -114,11 +190,13 @@
 }
 
 func (r *simulation) report(h *host) {
+	report := Report{From: h.addr, Incarnation: h.incarnation, Usage: h.limiter.LocalUsage(r.now)}
 	for _, to := range r.hosts {
-		if to == h || to.down || to.partitioned != h.partitioned {
+		if to == h || to.down || to.side != h.side {
 			continue
 		}
-		to.limiter.ApplyReport(r.now, Report{From: h.addr, Incarnation: h.incarnation, Usage: h.limiter.LocalUsage(r.now)})
+		to.heard[h] = r.now
+		to.limiter.ApplyReport(r.now, report)
 	}
 }
 
@@ -144,8 +222,10 @@
 
 // windowBound returns how many requests the stated target allows in a window: a tenth over
 // the contract and 20 more.
-func (r *simulation) windowBound() (n int) {
-	return int((r.contract.Rate*window.Seconds()+r.contract.Burst)*1.1) + 20
+func (r *simulation) windowBound() (n int) { return windowBoundOf(r.contract) }
+
+func windowBoundOf(c mesh.Contract) (n int) {
+	return int((c.Rate*window.Seconds()+c.Burst)*1.1) + 20
 }
 
 // TestInsideRate guards against refused requests of an organisation that stays within its
@@ -240,7 +320,7 @@
 		}, 0},
 		{"half cut off", 13, 254, func(r *simulation) {
 			for _, h := range r.hosts[:6] {
-				h.partitioned = true
+				h.side = 1
 			}
 		}, 0},
 		{"demand moves", 13, 254, func(r *simulation) {
@@ -411,7 +491,8 @@
 	if got := b.Admit(now, "free"); got != nil {
 		t.Errorf("no limit: got %v, want no refusal", got)
 	}
-	b.SetFleetSize(now, 10)
+	self := netip.MustParseAddrPort("10.0.0.1:7000")
+	b.SetFleet(now, Fleet{Self: self, Candidates: []netip.AddrPort{self}, ZoneSize: 1, ZoneSizes: []int{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}})
 	now = now.Add(time.Second)
 	admitted := 0
 	for b.Admit(now, "a") == nil {
