agent, fleet: follow the store from three hosts of each zone

Change: in a zone of more than eight hosts, three of them follow the store, chosen by rendezvous hashing over its live hosts. They send a heartbeat to their zone at once when the configuration changes, and the others fetch it from them. A host of another zone is asked only when that takes more than half a second, since traffic between zones is expensive. When a follower falls silent, the host that takes its place resumes where it last read. All hosts still read the store once when they start. Hosts of smaller zones work as before: the store may turn several of them away at a time.

Rendezvous hashing moves from quota to a package of its own.

--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -119,9 +119,11 @@
 		follow: follow, member: member, quota: quotas, picker: picker, gate: gates, meter: measures,
 		links: newPeerPools(), target: target, deliveries: newDeliveries(), log: logs.WithPrefix(l, "front"),
 	}
+	watch := newWatchDuty(vars, a.platform.Source, follow, member, logs.WithPrefix(l, "watch"))
+	member.watch = watch
 	a.duties = []mesh.Duty{
 		follow, member, quotas, gates, picker, fetch, probe, measures,
-		&watchDuty{source: a.platform.Source, follow: follow, log: logs.WithPrefix(l, "watch")},
+		watch,
 		&joinDuty{registry: a.platform.Registry, self: self, member: member, log: logs.WithPrefix(l, "join")},
 		&receiverDuty{socket: socket, member: member, quota: quotas, log: logs.WithPrefix(l, "ear")},
 	}
--- a/internal/mesh/agent/fetch.go
+++ b/internal/mesh/agent/fetch.go
@@ -78,7 +78,7 @@
 }
 
 func (d *fetchDuty) fetch(ctx context.Context, notice newerConfig) {
-	if d.upToDate(notice) || d.follow.View() != nil && !sleep(ctx, fetchDelay) || d.upToDate(notice) {
+	if d.upToDate(notice) || d.awaitsStore() && !sleep(ctx, fetchDelay) || d.upToDate(notice) {
 		return
 	}
 	config, err := d.request(ctx, notice.from)
@@ -89,6 +89,11 @@
 	_ = d.follow.events.Send(ctx, configReceived{config: config, from: notice.from.String()})
 }
 
+// awaitsStore reports whether newer configuration is likely to arrive from the store.
+func (d *fetchDuty) awaitsStore() bool {
+	return d.follow.View() != nil && d.follow.member.View().FollowsStore
+}
+
 // upToDate reports whether this node's configuration is at least as new as in the notice.
 func (d *fetchDuty) upToDate(notice newerConfig) bool {
 	own := d.follow.view.Load()
--- a/internal/mesh/agent/follow.go
+++ b/internal/mesh/agent/follow.go
@@ -73,6 +73,9 @@
 	from   string
 }
 
+// fromStore is the source of configuration that the store delivered.
+const fromStore = "store"
+
 // EventName implements mesh.Event.
 func (configReceived) EventName() string { return "heard-orders" }
 
@@ -119,14 +122,19 @@
 		fields["rules-version"] = merged.Rules.Version
 	}
 	d.log.InfoFields("new orders are in force", fields)
-	_ = d.member.events.Send(ctx, configChanged{next})
-	_ = d.quota.events.Send(ctx, configChanged{next})
-	_ = d.gate.events.Send(ctx, configChanged{next})
-	d.probe.events.Offer(configChanged{next})
+	_ = d.member.events.Send(ctx, configChanged{activeConfig: next, fromStore: received.from == fromStore})
+	_ = d.quota.events.Send(ctx, configChanged{activeConfig: next})
+	_ = d.gate.events.Send(ctx, configChanged{activeConfig: next})
+	d.probe.events.Offer(configChanged{activeConfig: next})
 }
 
 // configChanged notifies a duty of new configuration in force.
-type configChanged struct{ *activeConfig }
+type configChanged struct {
+	*activeConfig
+
+	// fromStore is true when this host read the configuration from the store.
+	fromStore bool
+}
 
 // EventName implements mesh.Event.
 func (configChanged) EventName() string { return "new-orders" }
@@ -138,14 +146,38 @@
 	return sum
 }
 
-// watchDuty reads the configuration from the store and watches for changes. It is the only
-// duty that blocks on the store while the node serves requests.
+// watchDuty reads the configuration from the store once and, on the hosts that follow the store
+// for their zone, watches for changes. It is the only duty that blocks on the store while the node
+// serves requests. Its ring holds one event, since each says the same.
 type watchDuty struct {
+	events *ring.Ring
 	source mesh.ConfigSource
 	follow *followDuty
+	member *memberDuty
 	log    logs.Log
 }
 
+func newWatchDuty(vars *expvar.Map, source mesh.ConfigSource, follow *followDuty, member *memberDuty, log logs.Log) (d *watchDuty) {
+	return &watchDuty{events: ring.New(vars, "watch", 1), source: source, follow: follow, member: member, log: log}
+}
+
+// followersChanged notifies the watch duty that this host has become or ceased to be one that
+// follows the store.
+type followersChanged struct{}
+
+// EventName implements mesh.Event.
+func (followersChanged) EventName() string { return "followers-changed" }
+
+// awaitTurn waits until this host has to follow the store.
+func (d *watchDuty) awaitTurn(ctx context.Context) {
+	for ctx.Err() == nil && !d.member.View().FollowsStore {
+		select {
+		case <-ctx.Done():
+		case <-d.events.Events():
+		}
+	}
+}
+
 // Name implements mesh.Duty.
 func (d *watchDuty) Name() string { return "watch" }
 
@@ -154,6 +186,9 @@
 	var last mesh.FleetConfig
 	synced, failures := false, 0
 	for ctx.Err() == nil {
+		if synced {
+			d.awaitTurn(ctx)
+		}
 		next, err := d.next(ctx, last, synced)
 		switch {
 		case errors.Is(err, mesh.ErrHistoryDropped):
@@ -175,7 +210,7 @@
 		}
 		failures = 0
 		last, synced = next, true
-		if err := d.follow.events.Send(ctx, configReceived{config: next, from: "store"}); err != nil {
+		if err := d.follow.events.Send(ctx, configReceived{config: next, from: fromStore}); err != nil {
 			return nil
 		}
 	}
--- a/internal/mesh/agent/gate_test.go
+++ b/internal/mesh/agent/gate_test.go
@@ -29,7 +29,7 @@
 	t.Cleanup(cancel)
 	go func() { _ = d.Run(ctx) }()
 	r := &mesh.Rules{Version: 1, Services: []mesh.ServiceRules{{Name: "s", ColdTime: 3 * time.Second, ColdRate: 20}}}
-	d.send(configChanged{&activeConfig{FleetConfig: mesh.FleetConfig{Rules: r}, index: rules.NewIndex(r)}})
+	d.send(configChanged{activeConfig: &activeConfig{FleetConfig: mesh.FleetConfig{Rules: r}, index: rules.NewIndex(r)}})
 	return d
 }
 
@@ -92,7 +92,7 @@
 		}
 		r := &mesh.Rules{Version: 2, Services: []mesh.ServiceRules{{Name: "s", ColdTime: 3 * time.Second, ColdRate: 20}}}
 		setZonesOut := func(out ...mesh.ZoneName) {
-			d.send(configChanged{&activeConfig{FleetConfig: mesh.FleetConfig{Rules: r, ZonesOut: out}, index: rules.NewIndex(r)}})
+			d.send(configChanged{activeConfig: &activeConfig{FleetConfig: mesh.FleetConfig{Rules: r, ZonesOut: out}, index: rules.NewIndex(r)}})
 		}
 		setZonesOut("a")
 		if got := enter(); got == nil || got.Code != header.ZoneOut {
--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -28,11 +28,19 @@
 	// loggedLag is the delay of a timer above which it is logged.
 	loggedLag = 250 * time.Millisecond
 
+	// crossZoneFetchDelay is how long a node waits for newer configuration to arrive from its own
+	// zone before it asks a host of another zone. It leaves time for that within the shortest
+	// bound on the spread of a change, two seconds.
+	crossZoneFetchDelay = 500 * time.Millisecond
+
 	// broadcastRounds is how many times a change that stops traffic to a target or host is
 	// sent to all hosts at once, since datagrams can be lost.
 	broadcastRounds = 3
 )
 
+// versions identifies a configuration.
+type versions struct{ rules, asOf uint64 }
+
 // memberDuty owns this node's view of the fleet membership. When its ring is full, heartbeats are
 // dropped, since the next one is complete, while reports of targets block their sender.
 type memberDuty struct {
@@ -46,6 +54,12 @@
 	gate   *gateDuty
 	follow *followDuty
 	fetch  *fetchDuty
+	watch  *watchDuty
+
+	// behind holds the versions of this node for which other hosts first had newer ones at
+	// behindSince.
+	behind      versions
+	behindSince time.Time
 
 	// broadcastsLeft is the number of further heartbeats that go to all hosts at once.
 	broadcastsLeft int
@@ -161,6 +175,9 @@
 	case configChanged:
 		d.state.SetZonesOut(e.ZonesOut)
 		d.publish(now)
+		if e.fromStore {
+			d.notifyZone(ctx, now)
+		}
 	case leaving:
 		d.state.Drain()
 		d.publish(now)
@@ -198,17 +215,29 @@
 	}
 	d.reportFleet(ctx)
 	d.quota.events.Offer(usageReceived{report: b.Usage})
-	d.compareConfig(b)
+	d.compareConfig(now, b)
 }
 
-// compareConfig fetches the configuration of a host when it is newer than this node's.
-func (d *memberDuty) compareConfig(b *beat.Beat) {
+// compareConfig fetches the configuration of a host when it is newer than this node's. Traffic
+// between zones is expensive, so a host of another zone is asked only after those of this zone
+// have had time to get the configuration.
+func (d *memberDuty) compareConfig(now time.Time, b *beat.Beat) {
 	own := d.follow.view.Load()
 	if own == nil {
 		own = new(activeConfig)
 	}
 	newer := own.Rules == nil && b.RulesVersion > 0 || own.Rules != nil && b.RulesVersion > own.Rules.Version
-	if newer || b.AsOf > own.AsOf && b.ZonesOutDigest != own.zonesOutDigest {
+	if !newer && (b.AsOf <= own.AsOf || b.ZonesOutDigest == own.zonesOutDigest) {
+		return
+	}
+	known := versions{asOf: own.AsOf}
+	if own.Rules != nil {
+		known.rules = own.Rules.Version
+	}
+	if known != d.behind {
+		d.behind, d.behindSince = known, now
+	}
+	if own.Rules == nil || b.Host.Zone == d.state.Self().Zone || now.Sub(d.behindSince) >= crossZoneFetchDelay {
 		d.fetch.events.Offer(newerConfig{from: b.Host.Addr, rulesVersion: b.RulesVersion, asOf: b.AsOf})
 	}
 }
@@ -259,7 +288,19 @@
 	d.sendDue(ctx, now)
 }
 
-func (d *memberDuty) publish(now time.Time) { d.view.Store(d.state.View(now)) }
+func (d *memberDuty) publish(now time.Time) {
+	before, v := d.View(), d.state.View(now)
+	d.view.Store(v)
+	if before.FollowsStore != v.FollowsStore {
+		d.watch.events.Offer(followersChanged{})
+	}
+}
+
+// notifyZone sends a heartbeat to the hosts of this zone, so that those which do not follow the
+// store notice new configuration at once.
+func (d *memberDuty) notifyZone(ctx context.Context, now time.Time) {
+	d.sendHeartbeat(now, d.heartbeat(ctx), d.state.ZonePeers(now))
+}
 
 func (d *memberDuty) tick(ctx context.Context, now time.Time) {
 	for _, name := range d.state.ExpireTargets(now) {
@@ -282,8 +323,16 @@
 	if len(direct)+len(relayed) == 0 {
 		return
 	}
+	b := d.heartbeat(ctx)
+	d.sendHeartbeat(now, b, direct)
+	b.Relay = true
+	d.sendHeartbeat(now, b, relayed)
+}
+
+// heartbeat returns the heartbeat with the current state of this host.
+func (d *memberDuty) heartbeat(ctx context.Context) (b *beat.Beat) {
 	self := d.state.Self()
-	b := &beat.Beat{
+	b = &beat.Beat{
 		Host: self, KnownHosts: d.state.KnownHosts(),
 		Usage: quota.Report{From: self.Addr, Incarnation: self.Incarnation, Usage: d.quota.Usage(ctx)},
 	}
@@ -293,9 +342,7 @@
 			b.RulesVersion = own.Rules.Version
 		}
 	}
-	d.sendHeartbeat(now, b, direct)
-	b.Relay = true
-	d.sendHeartbeat(now, b, relayed)
+	return b
 }
 
 // sendHeartbeat sends a heartbeat to the given hosts.
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/rank"
 )
 
 const (
@@ -49,6 +50,12 @@
 	// hosts send several heartbeats in that time.
 	listedTime = 2 * time.Second
 
+	// storeFollowers is the number of hosts of a zone that follow the platform's store for the
+	// others, which hear from them. In a zone of up to followAllHosts hosts, all follow it: that
+	// costs few calls, and the store may turn several hosts away at the same time.
+	storeFollowers = 3
+	followAllHosts = 8
+
 	// reportTimeout is the time without a report after which a target receives no more
 	// requests. Targets report about every 1.5 s, and reports may be seconds late.
 	reportTimeout = 8 * time.Second
@@ -131,6 +138,9 @@
 	// ZoneSizes holds the number of known hosts of each zone, silent or not.
 	ZoneSizes map[mesh.ZoneName]int
 
+	// FollowsStore is true when this host watches the platform's store for changes.
+	FollowsStore bool
+
 	// HeartbeatInterval is the interval of the heartbeats to other zones, the longest one.
 	HeartbeatInterval time.Duration
 }
@@ -375,6 +385,8 @@
 		}
 	}
 	slices.SortFunc(v.Candidates, netip.AddrPort.Compare)
+	followers := rank.Hosts("store", v.Candidates)
+	v.FollowsStore = len(followers) <= followAllHosts || slices.Contains(followers[:storeFollowers], s.self.Addr)
 	v.HeartbeatInterval = time.Duration(crossZoneFactor * float64(s.interval(s.self.Zone)))
 }
 
--- a/internal/mesh/quota/placement.go
+++ b/internal/mesh/quota/placement.go
@@ -1,16 +1,13 @@
 package quota
 
 import (
-	"cmp"
-	"encoding/binary"
 	"math"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/rank"
 )
 
 const (
@@ -76,31 +73,6 @@
 	return min(1, float64(len(f.Candidates))/float64(max(1, f.ZoneSize)))
 }
 
-// rank returns the candidates in the order of rendezvous hashing for an organisation. All hosts
-// with the same candidates have the same order, and a candidate that leaves changes the place of
-// no other.
-func (f *Fleet) rank(name mesh.OrganisationName) (ranked []netip.AddrPort) {
-	return sortByScore(slices.Clone(f.Candidates), xxhash.Sum64String(string(name)))
-}
-
-// sortByScore sorts addresses by their hashes with a seed, the highest first.
-func sortByScore(addrs []netip.AddrPort, seed uint64) (sorted []netip.AddrPort) {
-	scores := make(map[netip.AddrPort]uint64, len(addrs))
-	for _, addr := range addrs {
-		scores[addr] = score(seed, addr)
-	}
-	slices.SortFunc(addrs, func(a, b netip.AddrPort) int { return cmp.Compare(scores[b], scores[a]) })
-	return addrs
-}
-
-func score(seed uint64, addr netip.AddrPort) (hash uint64) {
-	var text [40]byte
-	data := binary.BigEndian.AppendUint64(text[:0], seed)
-	ip := addr.Addr().As16()
-	data = append(data, ip[:]...)
-	return xxhash.Sum64(binary.BigEndian.AppendUint16(data, addr.Port()))
-}
-
 // SetFleet replaces what is known of the fleet.
 func (b *RateLimiter) SetFleet(now time.Time, f Fleet) {
 	first := b.fleet.Size() == 0
@@ -136,13 +108,12 @@
 // askOrder returns the hosts in the order in which this host asks them: the holders of its zone,
 // of which different hosts prefer different ones, then the hosts that follow in the ranking.
 func (b *RateLimiter) askOrder(a *account) (order []netip.AddrPort) {
-	order = b.fleet.rank(a.contract.Organisation)
+	order = rank.Hosts(string(a.contract.Organisation), b.fleet.Candidates)
 	holders := order[:min(len(order), b.fleet.holdersPerZone(a))]
 	if i := slices.Index(holders, b.fleet.Self); i >= 0 {
 		return []netip.AddrPort{b.fleet.Self}
 	}
-	sortByScore(holders, score(0, b.fleet.Self))
-	return order
+	return append(rank.Hosts(b.fleet.Self.String(), holders), order[len(holders):]...)
 }
 
 // HolderFailed records that a host did not answer a request for an admission.
