fleet, agent: ignore late reports after a failed health check at start

Cause: a node that restarts does not remember that its target had reported that it leaves. A report from before, which arrives late, made the target ready again: 50 of 50 requests went to the leaving instance while another one was there (TestLateReportAfterRestart, which failed before).

Change: the health check at start is made whether a report has arrived or not. When it fails, the target is removed, and reports that it is ready are ignored for 5 s. Ruled out: the state in the beats of other hosts, since they may have restarted as well.

Not covered: the time from the start until the health check is answered, at most 0.4 s.

TestLateSecondAnswer plays copies of answers that arrive on connections in use; it passes, also without this change.

--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -108,6 +108,9 @@
 	done         ring.Reply
 }
 
+// targetUnhealthy carries the name of the target on this host whose health check has failed.
+type targetUnhealthy struct{ name string }
+
 type leaving struct{}
 
 // EventName implements mesh.Event.
@@ -119,6 +122,9 @@
 // EventName implements mesh.Event.
 func (announced) EventName() string { return "announced" }
 
+// EventName implements mesh.Event.
+func (targetUnhealthy) EventName() string { return "target-unhealthy" }
+
 // EventName implements mesh.Event.
 func (leaving) EventName() string { return "leaving" }
 
@@ -164,6 +170,10 @@
 		}
 	case announced:
 		d.announce(ctx, now, e)
+	case targetUnhealthy:
+		if d.state.MarkUnhealthy(now, e.name) {
+			d.removeTarget(ctx, now, e.name, "the health check of the target failed")
+		}
 	case listedHosts:
 		for _, h := range e.hosts {
 			if d.state.AddHost(now, h) {
--- a/internal/mesh/agent/probe.go
+++ b/internal/mesh/agent/probe.go
@@ -24,8 +24,9 @@
 	connectionsPerSlot = 16
 )
 
-// probeDuty checks the state of the target on this host once, when the node starts, since the
-// target's next report may be more than a second away. When its ring is full, events are
+// probeDuty checks the state of the target on this host once, when the node starts: the target's
+// next report may be more than a second away, and one that arrives earlier may be late, from before
+// the target reported that it leaves. When its ring is full, events are
 // dropped, since one is enough.
 type probeDuty struct {
 	events   *ring.Ring
@@ -63,7 +64,7 @@
 }
 
 func (d *probeDuty) probe(ctx context.Context, service mesh.ServiceRules) {
-	if service.StatusPath == "" || d.reported() {
+	if service.StatusPath == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -81,6 +82,10 @@
 	}
 	if !status.Healthy {
 		d.log.Infof("the health check returned status %d; the target does not accept requests.", answer.Status)
+		_ = d.member.events.Send(ctx, targetUnhealthy{name: status.Name})
+		return
+	}
+	if d.reported() {
 		return
 	}
 	t := mesh.Target{
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -60,6 +60,10 @@
 	// requests. Targets report about every 1.5 s, and reports may be seconds late.
 	reportTimeout = 8 * time.Second
 
+	// lateReportTime is how late a report may arrive. For that time after a failed health check,
+	// reports that a target is ready are taken for late ones.
+	lateReportTime = 5 * time.Second
+
 	// reportRetention is how long the last report of a target is kept to detect late ones. A
 	// report is delayed by seconds at most.
 	reportRetention = 10 * time.Minute
@@ -79,6 +83,9 @@
 
 	// reports holds the last report of each local target, by name.
 	reports map[string]lastReport
+
+	// unhealthy holds the time of the failed health check of a local target, by name.
+	unhealthy map[string]time.Time
 }
 
 // relay is the sender state for a zone that relays heartbeats.
@@ -147,7 +154,7 @@
 
 // New returns the state of a node that knows only its own host.
 func New(self mesh.Host) (s *State) {
-	return &State{self: self, hosts: make(map[netip.AddrPort]*host), zonesOut: make(map[mesh.ZoneName]bool), relays: make(map[mesh.ZoneName]*relay), reports: make(map[string]lastReport)}
+	return &State{self: self, hosts: make(map[netip.AddrPort]*host), zonesOut: make(map[mesh.ZoneName]bool), relays: make(map[mesh.ZoneName]*relay), reports: make(map[string]lastReport), unhealthy: make(map[string]time.Time)}
 }
 
 // Self returns this node's own host, as sent in its heartbeats.
@@ -200,6 +207,8 @@
 	switch {
 	case known && t.Incarnation < last.incarnation, s.replaced(t):
 		return false, false
+	case !t.Draining && now.Sub(s.unhealthy[t.Name]) < lateReportTime:
+		return false, false
 	case known && t.Incarnation == last.incarnation && (last.stopped || a.Sequence < last.sequence):
 		return false, false
 	}
@@ -234,6 +243,13 @@
 	return s.deleteTarget(name)
 }
 
+// MarkUnhealthy records that the health check of a local target has failed and removes the target.
+// A node that has just started does not know that the target had reported that it leaves.
+func (s *State) MarkUnhealthy(now time.Time, name string) (removed bool) {
+	s.unhealthy[name] = now
+	return s.deleteTarget(name)
+}
+
 func (s *State) deleteTarget(name string) (removed bool) {
 	before := len(s.self.Targets)
 	s.self.Targets = slices.DeleteFunc(slices.Clone(s.self.Targets), func(t mesh.Target) bool { return t.Name == name })
@@ -247,6 +263,7 @@
 // ExpireTargets removes the local targets without a recent report and returns their names.
 // The last report of a target is kept longer, so that a late one is recognized.
 func (s *State) ExpireTargets(now time.Time) (names []string) {
+	maps.DeleteFunc(s.unhealthy, func(_ string, at time.Time) bool { return now.Sub(at) > lateReportTime })
 	for name, r := range s.reports {
 		if !r.stopped && now.Sub(r.at) > reportTimeout && s.deleteTarget(name) {
 			names = append(names, name)
