--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -82,11 +82,21 @@
 	}
 	vars.Set("beats-sent", d.beats)
 	vars.Set("hosts-known", expvar.Func(func() any { return d.View().FleetSize }))
+	vars.Set("targets-known", expvar.Func(func() any { return targetCounts(d.View()) }))
 	vars.Set("hosts-heard", expvar.Func(func() any { return len(d.View().Peers) + 1 }))
 	d.view.Store(d.state.View(time.Now()))
 	return d
 }
 
+// targetCounts returns the number of targets that accept requests, by service.
+func targetCounts(v *fleet.View) (counts map[mesh.ServiceName]int) {
+	counts = make(map[mesh.ServiceName]int, len(v.Targets))
+	for service, targets := range v.Targets {
+		counts[service] = len(targets)
+	}
+	return counts
+}
+
 // Name implements mesh.Duty.
 func (d *memberDuty) Name() string { return "member" }
 
