quota: admit at this host while the fleet is not known

Cause: before a node knew the fleet, the holder of a contract was the zero address. The node asked it three times and refused after 0.15 s as busy, instead of at once with the time after which it knows the fleet.

Change: Holder says whether another host has to be asked. resize is split into the sum of the reports, the bucket after a start, and the rest.

--- a/internal/mesh/agent/quota.go
+++ b/internal/mesh/agent/quota.go
@@ -200,8 +200,8 @@
 // admit has a request admitted, by this host if it holds the contract.
 func (d *quotaDuty) admit(now time.Time, p *pendingAsk) {
 	name := p.request.organisation
-	p.holder = d.buckets.Holder(now, name)
-	if p.holder == d.self {
+	holder, other := d.buckets.Holder(now, name)
+	if !other {
 		p.request.reply.Answer(admitReply{refusal: d.buckets.Admit(now, name)})
 		return
 	}
@@ -211,6 +211,7 @@
 		p.request.reply.Answer(admitReply{refusal: refusal})
 		return
 	}
+	p.holder = holder
 	p.tries++
 	p.expires = now.Add(askTimeout)
 	d.lastAsk++
@@ -221,7 +222,7 @@
 	d.order = append(d.order, d.lastAsk)
 	data, err := beat.EncodeAsk(&beat.Ask{ID: d.lastAsk, From: d.self, Organisation: name})
 	d.asksSent.Add(1)
-	d.send(data, err, p.holder)
+	d.send(data, err, holder)
 }
 
 // answer answers the ask of another host. It is answered here also when this host does not count
--- a/internal/mesh/quota/placement.go
+++ b/internal/mesh/quota/placement.go
@@ -86,23 +86,23 @@
 	}
 }
 
-// Holder returns the host that admits the requests which come to this host under a contract:
-// this host itself if it holds the contract, otherwise one of the holders in its zone. Hosts that
-// did not answer lately come last.
-func (b *RateLimiter) Holder(now time.Time, name mesh.OrganisationName) (addr netip.AddrPort) {
+// Holder returns the host that has to be asked for admissions under a contract, a holder in the zone
+// of this host. Hosts that did not answer lately come last. It returns false when this host admits
+// the requests itself.
+func (b *RateLimiter) Holder(now time.Time, name mesh.OrganisationName) (addr netip.AddrPort, other bool) {
 	a, found := b.accounts[name]
 	if !found || a.contract.Rate == 0 || b.fleet.Size() == 0 {
-		return b.fleet.Self
+		return addr, false
 	}
 	if a.asked == nil {
 		a.asked = b.askOrder(a)
 	}
 	for _, addr := range a.asked {
 		if until, failed := b.unresponsive[addr]; !failed || now.After(until) {
-			return addr
+			return addr, addr != b.fleet.Self
 		}
 	}
-	return b.fleet.Self
+	return addr, false
 }
 
 // askOrder returns the hosts in the order in which this host asks them: the holders of its zone,
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -131,6 +131,7 @@
 	accounts map[mesh.OrganisationName]*account
 	hosts    map[netip.AddrPort]*remoteHost
 
+	// fleet is empty while this host does not know which hosts share the contracts.
 	fleet       Fleet
 	reportsSent int
 	lastTick    time.Time
@@ -479,9 +480,35 @@
 // the allowance, however fast the demand grows.
 func (b *RateLimiter) resize(now time.Time, a *account) {
 	a.refill(now)
-	a.remoteAdmitted = 0
+	covered := b.sumAdmitted(now, a)
+	if b.fleet.Size() == 0 {
+		return
+	}
+	share := slices.Min(a.demandShares[:b.uncoveredSlots()-1])
+	equalShare := b.fleet.reachable() / float64(b.fleet.holders(a))
+	a.budget = (equalFraction*equalShare + (1-equalFraction)*share) * ((1+marginFraction)*a.allowance() + marginTokens - covered)
+	capacityShare := max(share, equalShare)
+	remaining := boostThreshold*a.allowance() - a.admitted.total(windowSlots) - a.remoteAdmitted
+	switch {
+	case now.Sub(a.created) < window:
+		b.resizeStart(now, a, share, capacityShare)
+	case remaining > 0:
+		a.rate, a.capacity = share*boostFactor*a.allowance()/window.Seconds(), capacityShare*(remaining+slackTokens)
+	default:
+		a.rate, a.capacity = share*a.allowance()/window.Seconds(), share*a.contract.Burst*limitedBurstFraction
+	}
+	if !b.isolated() {
+		a.capacity = max(1, a.capacity)
+	}
+	a.tokens = min(a.tokens, a.capacity)
+}
+
+// sumAdmitted updates remoteAdmitted and returns how many requests all hosts admitted in the slots
+// of the window that reports cover.
+func (b *RateLimiter) sumAdmitted(now time.Time, a *account) (covered float64) {
 	uncovered := b.uncoveredSlots()
-	covered := a.admitted.total(windowSlots) - a.admitted.total(uncovered)
+	covered = a.admitted.total(windowSlots) - a.admitted.total(uncovered)
+	a.remoteAdmitted = 0
 	for _, h := range b.hosts {
 		u := h.usage[a.contract.Organisation]
 		if u == nil {
@@ -496,36 +523,21 @@
 		a.remoteAdmitted += admitted
 		covered += admitted - u.admitted.total(uncovered)
 	}
-	if b.fleet.Size() == 0 {
-		return
-	}
-	share, reachable := slices.Min(a.demandShares[:uncovered-1]), b.fleet.reachable()
-	equalShare := reachable / float64(b.fleet.holders(a))
-	capacityShare := max(share, equalShare)
-	a.budget = (equalFraction*equalShare + (1-equalFraction)*share) * ((1+marginFraction)*a.allowance() + marginTokens - covered)
-	remaining := boostThreshold*a.allowance() - a.admitted.total(windowSlots) - a.remoteAdmitted
-	switch {
-	case now.Sub(a.created) < window:
-		// The number of requests admitted before this node started is not known. An
-		// organisation whose demand is below its rate cannot exceed its allowance.
-		a.capacity = 1
-		switch offered, known := b.totalDemand(now, a); {
-		case !known && now.Sub(a.created) < minDemandPeriod:
-			a.rate = unknownDemandFraction * share * a.contract.Rate
-		case !known || offered > a.contract.Rate:
-			a.rate = excessDemandFraction * share * a.contract.Rate
-		default:
-			a.rate, a.capacity = capacityShare*a.allowance()/window.Seconds(), capacityShare*(startFraction*a.allowance()+startSlackTokens)
-		}
-	case remaining > 0:
-		a.rate, a.capacity = share*boostFactor*a.allowance()/window.Seconds(), capacityShare*(remaining+slackTokens)
+	return covered
+}
+
+// resizeStart sets the bucket in the first window after a start. The number of requests admitted
+// before is not known. An organisation whose demand is below its rate cannot exceed its allowance.
+func (b *RateLimiter) resizeStart(now time.Time, a *account, share, capacityShare float64) {
+	a.capacity = 1
+	switch offered, known := b.totalDemand(now, a); {
+	case !known && now.Sub(a.created) < minDemandPeriod:
+		a.rate = unknownDemandFraction * share * a.contract.Rate
+	case !known || offered > a.contract.Rate:
+		a.rate = excessDemandFraction * share * a.contract.Rate
 	default:
-		a.rate, a.capacity = share*a.allowance()/window.Seconds(), share*a.contract.Burst*limitedBurstFraction
+		a.rate, a.capacity = capacityShare*a.allowance()/window.Seconds(), capacityShare*(startFraction*a.allowance()+startSlackTokens)
 	}
-	if !b.isolated() {
-		a.capacity = max(1, a.capacity)
-	}
-	a.tokens = min(a.tokens, a.capacity)
 }
 
 func (a *account) refill(now time.Time) {
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -130,8 +130,8 @@
 // admit has a request admitted that comes to a host.
 func (r *simulation) admit(h *host) (admitted bool) {
 	for range maxAsks {
-		to := r.byAddr[h.limiter.Holder(r.now, r.contract.Organisation)]
-		if to == nil || to == h {
+		to := r.holderOf(h)
+		if to == h {
 			return h.limiter.Admit(r.now, r.contract.Organisation) == nil
 		}
 		if !to.down && to.side == h.side && to.limiter.Holds(r.contract.Organisation) {
@@ -488,6 +488,9 @@
 	if got := b.Admit(now, "a"); got == nil || got.RetryAfter != startRetryAfter {
 		t.Errorf("before the hosts are known: got %v, want a refusal with a retry after %v", got, startRetryAfter)
 	}
+	if got, other := b.Holder(now, "a"); other {
+		t.Errorf("before the hosts are known: got %v to be asked, want none", got)
+	}
 	if got := b.Admit(now, "free"); got != nil {
 		t.Errorf("no limit: got %v, want no refusal", got)
 	}
--- a/internal/mesh/quota/schedule_test.go
+++ b/internal/mesh/quota/schedule_test.go
@@ -47,9 +47,13 @@
 	shrinkFleet   fault = "hosts leave"
 )
 
-// holderOf returns a host that holds the contract for requests that come to h.
+// holderOf returns the host that admits requests which come to h.
 func (r *simulation) holderOf(h *host) (holder *host) {
-	return r.byAddr[h.limiter.Holder(r.now, r.contract.Organisation)]
+	addr, other := h.limiter.Holder(r.now, r.contract.Organisation)
+	if !other {
+		return h
+	}
+	return r.byAddr[addr]
 }
 
 // disturb applies a fault and returns the function that ends it.
