--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -328,6 +328,8 @@
 	}
 	if d.state.ExpireHosts(now, d.lastTick) {
 		d.publish(now)
+		// The first report waits for the host list or a heartbeat: a host that knows none but
+		// itself would take whole contracts.
 		if d.reported != nil {
 			d.reportFleet(ctx)
 		}
