--- a/review/platform/latecopy.go
+++ b/review/platform/latecopy.go
@@ -25,7 +25,7 @@
 
 	// rejectShare is the share of the requests that the instance rejects in a spell of
 	// rejectSpell.
-	rejectShare = 0.55
+	rejectShare = 0.1
 	rejectSpell = 8500 * time.Millisecond
 	spellPause  = 1500 * time.Millisecond
 	spells      = 8
