--- a/review/platform/client.go
+++ b/review/platform/client.go
@@ -26,7 +26,6 @@
 
 	// status is 0 when the connection ended without a complete answer; err says how.
 	status int
-	body2  string
 	err    error
 }
 
@@ -90,11 +89,10 @@
 	if err != nil {
 		return err
 	}
-	text, err := io.ReadAll(answer.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 		return err
 	}
-	q.status, q.body2 = answer.StatusCode, string(text)
+	q.status = answer.StatusCode
 	if answer.Close {
 		c.drop()
 	}
--- a/review/platform/instance.go
+++ b/review/platform/instance.go
@@ -23,9 +23,9 @@
 
 // instance is a stand-in for an application instance.
 type instance struct {
-	record                      *record
-	id, service, zone, hostName string
-	slots                       int
+	record            *record
+	id, service, zone string
+	slots             int
 
 	// rejects says whether the next request is rejected, besides those that find no slot.
 	rejects func() bool
@@ -51,8 +51,8 @@
 	copies  int
 }
 
-func startInstance(rec *record, id, service, zone, name string, slots int) (i *instance, err error) {
-	i = &instance{record: rec, id: id, service: service, zone: zone, hostName: name, slots: slots, born: time.Now(), conns: make(map[net.Conn]bool)}
+func startInstance(rec *record, id, service, zone string, slots int) (i *instance, err error) {
+	i = &instance{record: rec, id: id, service: service, zone: zone, slots: slots, born: time.Now(), conns: make(map[net.Conn]bool)}
 	if i.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
--- a/review/platform/machine.go
+++ b/review/platform/machine.go
@@ -30,10 +30,9 @@
 	internal      int
 	settings, log string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	ended   chan struct{}
-	stopped bool
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
 
 	// in is false after two questions in a row for /ready without a 200.
 	in atomic.Bool
@@ -98,7 +97,7 @@
 	at := func(offset int) string { return fmt.Sprintf("127.0.0.1:%d", first+offset) }
 	m = &machine{fleet: f, name: name, zone: zone, internal: first, outbound: at(2), ready: at(3), control: at(4)}
 	id := fmt.Sprintf("i-%s-%x", name, time.Now().UnixNano()&0xffffff)
-	if m.inst, err = startInstance(f.record, id, service, zone, name, slots); err != nil {
+	if m.inst, err = startInstance(f.record, id, service, zone, slots); err != nil {
 		return nil, err
 	}
 	m.settings, m.log = filepath.Join(f.dir, name+".toml"), filepath.Join(f.dir, name+".log")
@@ -324,7 +323,6 @@
 	close(f.done)
 	for _, m := range f.machines {
 		m.mu.Lock()
-		m.stopped = true
 		if m.cmd != nil {
 			_ = m.cmd.Process.Kill()
 			<-m.ended
