--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -34,6 +34,10 @@
 	// keepsWorking is true for an instance that does not drop a request whose connection closes.
 	keepsWorking bool
 
+	// plainRejections leaves the request's id out of rejections, as the examples of "fleetbench
+	// wire" do.
+	plainRejections bool
+
 	// lateCopy says whether the answer that is written now is sent a second time, late.
 	lateCopy func(status int) bool
 
@@ -166,6 +170,9 @@
 		i.shed++
 		i.mu.Unlock()
 		i.record.line(time.Now(), "instance %s rejects %s: full, not executed", i.id, id)
+		if i.plainRejections {
+			echo = ""
+		}
 		return response(http.StatusServiceUnavailable, echo+"X-Not-Executed: 1\r\n", ""), http.StatusServiceUnavailable, true
 	}
 	select {
--- a/review/standin/latecopy.go
+++ b/review/standin/latecopy.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,7 @@
 		if err != nil {
 			return err
 		}
+		added.inst.plainRejections = os.Getenv("PLAIN_REJECTIONS") == "1"
 		added.inst.keepsWorking, added.inst.queueLength = true, copyQueue
 		added.inst.lateCopy = func(int) bool { return garbling.Load() && rand.Float64() < copyShare }
 		m.route(service, "non_idempotent", service, copyLimit.Seconds(), copyAim, 3, 0)
