--- a/review/standin/instance.go
+++ b/review/platform/instance.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 )
@@ -28,18 +27,15 @@
 	id, service, zone, hostName string
 	slots                       int
 
-	// queueLength is how many requests may wait for a slot.
-	queueLength int
-
-	// keepsWorking is true for an instance that does not drop a request whose connection closes.
-	keepsWorking bool
+	// rejects says whether the next request is rejected, besides those that find no slot.
+	rejects func() bool
 
 	// plainRejections leaves the request's id out of rejections, as the examples of "fleetbench
 	// wire" do.
 	plainRejections bool
 
 	// lateCopy says whether the answer that is written now is sent a second time, late.
-	lateCopy func(status int) bool
+	lateCopy func() bool
 
 	listener net.Listener
 	born     time.Time
@@ -47,7 +43,6 @@
 	mu      sync.Mutex
 	seq     uint64
 	running int
-	queued  []chan struct{}
 	leaving bool
 	ended   bool
 	conns   map[net.Conn]bool
@@ -122,14 +117,14 @@
 			_, err := reader.Peek(1)
 			next <- err
 		}()
-		answer, status, open := i.answer(r, next)
+		answer, open := i.answer(r, next)
 		if !open {
 			return
 		}
 		if _, err := c.Write(answer); err != nil {
 			return
 		}
-		if r.URL.Path != healthPath && i.lateCopy != nil && i.lateCopy(status) {
+		if r.URL.Path != healthPath && i.lateCopy != nil && i.lateCopy() {
 			i.mu.Lock()
 			i.copies++
 			i.mu.Unlock()
@@ -144,21 +139,21 @@
 const healthPath = "/health"
 
 // answer handles one request. open is false when the connection was closed meanwhile.
-func (i *instance) answer(r *http.Request, next chan error) (answer []byte, status int, open bool) {
+func (i *instance) answer(r *http.Request, next chan error) (answer []byte, open bool) {
 	id := r.Header.Get("X-Request-Id")
 	i.mu.Lock()
 	leaving := i.leaving
 	i.mu.Unlock()
 	if r.URL.Path == healthPath {
-		status = http.StatusOK
+		status := http.StatusOK
 		if leaving {
 			status = http.StatusServiceUnavailable
 		}
-		return response(status, "X-Instance-Id: "+i.id+"\r\n", ""), status, true
+		return response(status, "X-Instance-Id: "+i.id+"\r\n", ""), true
 	}
 	echo := "X-Request-Id: " + id + "\r\n"
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != i.id {
-		return response(http.StatusMisdirectedRequest, echo+"X-Instance-Id: "+i.id+"\r\n", ""), http.StatusMisdirectedRequest, true
+		return response(http.StatusMisdirectedRequest, echo+"X-Instance-Id: "+i.id+"\r\n", ""), true
 	}
 	work, err := time.ParseDuration(r.URL.Query().Get("work"))
 	if err != nil {
@@ -166,25 +161,19 @@
 	}
 	started := i.begin(r, id)
 	if started == nil {
-		i.mu.Lock()
-		i.shed++
-		i.mu.Unlock()
-		i.record.line(time.Now(), "instance %s rejects %s: full, not executed", i.id, id)
+		i.record.line(time.Now(), "instance %s rejects %s: not executed", i.id, id)
 		if i.plainRejections {
 			echo = ""
 		}
-		return response(http.StatusServiceUnavailable, echo+"X-Not-Executed: 1\r\n", ""), http.StatusServiceUnavailable, true
+		return response(http.StatusServiceUnavailable, echo+"X-Not-Executed: 1\r\n", ""), true
 	}
 	select {
 	case <-time.After(work):
 	case err := <-next:
 		next <- err
 		if err != nil {
-			if i.keepsWorking {
-				time.Sleep(work - time.Since(started.at))
-			}
 			i.end(started, false)
-			return nil, 0, false
+			return nil, false
 		}
 		time.Sleep(work - time.Since(started.at))
 	}
@@ -192,35 +181,18 @@
 	if leaving {
 		echo += "Connection: close\r\n"
 	}
-	return response(http.StatusOK, echo+"X-Response-Signature: proof-of-"+id+"\r\n", "answer to "+id), http.StatusOK, true
+	return response(http.StatusOK, echo+"X-Response-Signature: proof-of-"+id+"\r\n", "answer to "+id), true
 }
 
-// begin waits for a slot. It returns nil when the queue is full, or when the time limit of the
-// request has passed in the queue.
+// begin takes a slot for a request, or returns nil when it is rejected.
 func (i *instance) begin(r *http.Request, id string) (started *run) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	switch {
-	case i.running < i.slots:
-		i.running++
-	case len(i.queued) >= i.queueLength:
+	if i.running >= i.slots || i.rejects != nil && i.rejects() {
+		i.shed++
 		return nil
-	default:
-		turn := make(chan struct{})
-		i.queued = append(i.queued, turn)
-		limit, _ := time.ParseDuration(r.Header.Get("X-Deadline-Ms") + "ms")
-		i.mu.Unlock()
-		select {
-		case <-turn:
-			i.mu.Lock()
-		case <-time.After(limit):
-			i.mu.Lock()
-			if n := slices.Index(i.queued, turn); n >= 0 {
-				i.queued = slices.Delete(i.queued, n, n+1)
-				return nil
-			}
-		}
 	}
+	i.running++
 	started = &run{id: id, method: r.Method, path: r.URL.Path, at: time.Now()}
 	i.runs = append(i.runs, started)
 	i.record.line(started.at, "instance %s runs %s", i.id, id)
@@ -230,12 +202,7 @@
 func (i *instance) end(r *run, answered bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if len(i.queued) > 0 {
-		close(i.queued[0])
-		i.queued = i.queued[1:]
-	} else {
-		i.running--
-	}
+	i.running--
 	r.ended, r.answered, r.broken = time.Now(), answered, i.ended
 }
 
--- a/review/standin/memory.go
+++ b/review/platform/memory.go
@@ -19,11 +19,11 @@
 
 	// usualUploads is the usual rate of the tenant's uploads at each machine, per second, and
 	// hotFactor how much more it sends for hotSpell.
-	usualUploads = 1.4
-	hotFactor    = 8
-	hotSpell     = 9 * time.Second
-	hotPause     = 8 * time.Second
-	hotSpells    = 4
+	usualUploads = 1.5
+	hotFactor    = 7.5
+	hotSpell     = 6500 * time.Millisecond
+	hotPause     = 9 * time.Second
+	hotSpells    = 5
 
 	memoryLimit  = 284 << 20
 	restartDelay = 500 * time.Millisecond
@@ -31,8 +31,8 @@
 
 func init() { cases["memory"] = memory }
 
-// memory lets one tenant send eight times its usual uploads, far beyond its quota. No node
-// process may exceed its memory for it.
+// memory lets one tenant send 7.5 times its usual uploads, far beyond its quota. No node process
+// may exceed its memory for it.
 func memory(f *fleet, trouble bool) (err error) {
 	for n, zone := range []string{"north-a", "north-a", "north-b", "north-b"} {
 		if _, err := f.add(fmt.Sprintf("n%d", n+1), zone, "store", 44); err != nil {
