fleet: a stop before the first report counts for all earlier incarnations

Callers saw requests run at a target that had left: its node had restarted, the target left before its first report to the new process, and a late report brought it back into use. Requests at work there were cut off when it exited.

Cause: a stop is remembered with the incarnation of the last report. A node that has just started has none, so the stop was recorded for incarnation 0 and the late report passed for a later start. The node's log shows it: the target is registered by the health check (slots 22), stops, and is registered again by a report (slots 44). Not the cause: a report that overtook the leave, state from another host, a failed health check.

Change: without a report, the stop counts for every incarnation up to its own time. Node and target run on one host and share its clock, and a later start has a later incarnation.

--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -289,6 +289,7 @@
 		d.log.InfoFields("the target reported a new state", logs.Fields{
 			"target": a.Target.Name, "service": a.Target.Service, "slots": a.Target.Slots,
 			"draining": a.Target.Draining, "cold-until": a.Target.ColdUntil,
+			"incarnation": a.Target.Incarnation, "sequence": a.Sequence,
 		})
 		d.broadcast(ctx, now)
 	}
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -100,6 +100,8 @@
 // lastReport is the position of a target's last report in the order of its reports. The
 // incarnation takes precedence over the sequence.
 type lastReport struct {
+	// incarnation is that of the report, or 0 while the target is known only by its health check.
+	// When a target stops before its first report, it is the time of the stop, an upper bound.
 	incarnation mesh.Incarnation
 	sequence    uint64
 	at          time.Time
@@ -238,6 +240,11 @@
 // reports may still arrive and are rejected from now on.
 func (s *State) RemoveTarget(now time.Time, name string) (removed bool) {
 	last := s.reports[name]
+	if last.incarnation == 0 {
+		// A node that has just started knows the target by its health check at most, which does
+		// not tell its incarnation. The target runs on this host, so both use the same clock.
+		last.incarnation = mesh.NewIncarnation(now)
+	}
 	last.stopped, last.at = true, now
 	s.reports[name] = last
 	return s.deleteTarget(name)
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -73,6 +73,42 @@
 	}
 }
 
+// TestStopBeforeFirstReport guards against a target that left before a restarted node had had a
+// report of it, and that is used again because of a late report.
+func TestStopBeforeFirstReport(t *testing.T) {
+	stop := start.Add(time.Minute)
+	for _, c := range []struct {
+		name string
+
+		// checked is true when the health check has registered the target before it left.
+		checked  bool
+		started  time.Time
+		accepted bool
+	}{
+		{"late report, target known by its health check", true, start, false},
+		{"late report, target unknown", false, start, false},
+		{"later start, target known by its health check", true, stop.Add(time.Second), true},
+		{"later start, target unknown", false, stop.Add(time.Second), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New(self)
+			if c.checked {
+				s.ApplyReport(stop.Add(-time.Second), mesh.Announcement{Target: target("i", 0)})
+			}
+			s.RemoveTarget(stop, "i")
+			for sequence := range uint64(3) {
+				report := mesh.Announcement{Target: target("i", mesh.NewIncarnation(c.started)), Sequence: 7 + sequence}
+				if got, _ := s.ApplyReport(stop.Add(2*time.Second), report); got != c.accepted {
+					t.Errorf("report %d: got accepted %v, want %v", report.Sequence, got, c.accepted)
+				}
+			}
+			if got := len(targetNames(s.View(stop))) > 0; got != c.accepted {
+				t.Errorf("target accepts requests: got %v, want %v", got, c.accepted)
+			}
+		})
+	}
+}
+
 // TestSilentTarget guards against requests to a target that stopped without reporting it.
 func TestSilentTarget(t *testing.T) {
 	s := New(self)
