link: keep late copies of an answer away from other attempts

Callers saw payouts run twice, or answered 503 (not run) and run, when a target rejected requests and sent some answers a second time.

Cause: answers are matched by the caller's request id, which all attempts of a request share. The second attempt went over the connection on which the first one had been rejected, and the late copy of the rejection matched it. A rejection without an id matched any later request. Not the cause: answers lost on the way, and attempts by two nodes.

Change: a connection remembers the ids of its last answered requests and is not used for another attempt of one of them; after an answer that names no request, it is closed. Health checks share these connections and name no request.

--- a/internal/mesh/agent/probe.go
+++ b/internal/mesh/agent/probe.go
@@ -69,7 +69,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	answer, _, err := d.target.Exchange(ctx, &link.Request{Method: http.MethodGet, Path: service.StatusPath, Host: d.settings.Target.String()})
+	answer, _, err := d.target.Exchange(ctx, &link.Request{
+		Method: http.MethodGet, Path: service.StatusPath, Host: d.settings.Target.String(),
+		// The answer to a health check names no request.
+		Match: func(int, mesh.Headers) link.Match { return link.MatchByOrder },
+	})
 	if err != nil {
 		d.log.Warnf("the health check of the target failed: %v.", err)
 		return
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -163,7 +163,12 @@
 	headers[header.Pass] = []string{encoded}
 	response, sent, err := rh.links.get(to.Host).Exchange(ctx, &link.Request{
 		Method: p.Method, Path: p.Path, Host: p.host, Headers: headers, Body: p.Body,
-		Accept: func(_ int, h mesh.Headers) bool { return firstValue(h, header.RequestID) == call.CallerRequestID },
+		Match: func(_ int, h mesh.Headers) link.Match {
+			if firstValue(h, header.RequestID) != call.CallerRequestID {
+				return link.NoMatch
+			}
+			return link.MatchByID
+		},
 	})
 	if err != nil {
 		return nil, false, exchangeRefusal(sent, err, "node of the target")
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -96,10 +96,17 @@
 	rh.dialect.SetTargetHeaders(headers, call, *in.target, call.Remaining(time.Now()))
 	var info mesh.AnswerInfo
 	response, sent, err := rh.target.Exchange(ctx, &link.Request{
-		Method: p.Method, Path: p.Path, Host: p.host, Headers: headers, Body: p.Body,
-		Accept: func(status int, h mesh.Headers) bool {
+		Method: p.Method, Path: p.Path, Host: p.host, Headers: headers, Body: p.Body, ID: call.CallerRequestID,
+		Match: func(status int, h mesh.Headers) link.Match {
 			info = rh.dialect.ParseAnswer(status, h)
-			return info.ID == "" || info.ID == call.CallerRequestID
+			switch info.ID {
+			case call.CallerRequestID:
+				return link.MatchByID
+			case "":
+				return link.MatchByOrder
+			default:
+				return link.NoMatch
+			}
 		},
 	})
 	if err != nil {
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -12,12 +12,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
@@ -65,6 +67,9 @@
 	// own head, interim answers, and the heads of answers to other requests.
 	maxHeadBytes = 64 << 10
 
+	// rememberedIDs is the number of last answered requests whose ids a connection remembers.
+	rememberedIDs = 16
+
 	readBuffer = 4 << 10
 )
 
@@ -83,10 +88,31 @@
 	Headers            mesh.Headers
 	Body               []byte
 
-	// Accept reports whether an answer belongs to this request; nil accepts every answer.
-	Accept func(status int, h mesh.Headers) (own bool)
+	// ID identifies the request to a remote end that may send a copy of an answer late. Another
+	// attempt has the same ID, so it is not sent over a connection that has answered one: the copy
+	// would match it. Empty for remote ends that send each answer once.
+	ID string
+
+	// Match says how an answer relates to this request; nil takes every answer for MatchByID.
+	Match func(status int, h mesh.Headers) (m Match)
 }
 
+// Match is how an answer relates to a request.
+type Match uint8
+
+const (
+	// NoMatch is the match of an answer to another request.
+	NoMatch Match = iota
+
+	// MatchByID is the match of an answer that belongs to the request by its content.
+	MatchByID
+
+	// MatchByOrder is the match of an answer that only its place on the connection assigns to the
+	// request. The connection is not used again, since a late copy of the answer would pass for the
+	// answer to a later request.
+	MatchByOrder
+)
+
 // Response is the answer to a request. Body must be closed.
 type Response struct {
 	Status int
@@ -120,6 +146,23 @@
 
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
+
+	// answered holds the hashed ids of the last answered requests, as a ring in which the next one
+	// takes the place at answers modulo its length. A hash that two ids share costs a connection.
+	answered [rememberedIDs]uint64
+	answers  int
+}
+
+// remember records that a request with the id is answered.
+func (c *conn) remember(id string) {
+	c.answered[c.answers%rememberedIDs] = xxhash.Sum64String(id)
+	c.answers++
+}
+
+// hasAnswered reports whether the connection remembers a request with the id.
+func (c *conn) hasAnswered(id string) bool {
+	n := min(c.answers, rememberedIDs)
+	return n > 0 && slices.Contains(c.answered[:n], xxhash.Sum64String(id))
 }
 
 // NewPool returns a pool of connections to the address.
@@ -143,18 +186,14 @@
 	}
 }
 
-// get removes and returns an idle connection that is still usable, or nil when there is none.
-func (p *Pool) get(now time.Time) (c *conn) {
+// get removes and returns an idle connection that is still usable and has not answered a request
+// with the id, or nil when there is none.
+func (p *Pool) get(now time.Time, id string) (c *conn) {
 	for {
-		p.mu.Lock()
-		n := len(p.idle)
-		if n == 0 {
-			p.mu.Unlock()
+		c = p.take(id)
+		if c == nil {
 			return nil
 		}
-		c = p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		p.mu.Unlock()
 		if now.Sub(c.lastUsed) < c.idleTimeout && c.reusable() {
 			return c
 		}
@@ -162,6 +201,20 @@
 	}
 }
 
+// take removes and returns the most recently used idle connection that has not answered a request
+// with the id, or nil when there is none.
+func (p *Pool) take(id string) (c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range slices.Backward(p.idle) {
+		if id == "" || !c.hasAnswered(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // put returns a connection to the pool and closes those that have been idle for too long.
 func (p *Pool) put(c *conn) {
 	c.lastUsed = time.Now()
@@ -230,7 +283,7 @@
 // byte of the request may have left this host. When ctx is done, the connection is closed,
 // which signals the remote end to stop.
 func (p *Pool) Exchange(ctx context.Context, r *Request) (answer *Response, sent bool, err error) {
-	c := p.get(time.Now())
+	c := p.get(time.Now(), r.ID)
 	if c == nil {
 		if c, err = p.open(ctx); err != nil {
 			return nil, false, err
@@ -273,10 +326,13 @@
 			written <- err
 		}()
 	}
-	response, err := c.read(r)
+	response, match, err := c.read(r)
 	if err != nil {
 		return nil, true, err
 	}
+	if r.ID != "" {
+		c.remember(r.ID)
+	}
 	bodySent := false
 	select {
 	case err := <-written:
@@ -285,7 +341,7 @@
 		// The answer arrived before the request body was fully sent. The connection cannot be
 		// reused, since the rest of the body would be read as the next request.
 	}
-	reuse := bodySent && !response.Close && response.ContentLength >= 0 || bodySent && !response.Close && isChunked(response)
+	reuse := bodySent && match == MatchByID && !response.Close && (response.ContentLength >= 0 || isChunked(response))
 	c.idleTimeout = idleTimeoutOf(response.Header)
 	finish := func(complete bool) {
 		if !stop() || !complete || !reuse {
@@ -325,31 +381,35 @@
 	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
 
-// read returns the answer to the request. It skips informational responses and answers to
-// other requests.
-func (c *conn) read(r *Request) (response *http.Response, err error) {
+// read returns the answer to the request and how it was matched. It skips informational responses
+// and answers to other requests.
+func (c *conn) read(r *Request) (response *http.Response, match Match, err error) {
 	c.source.left = maxHeadBytes
 	defer func() { c.source.left = unbounded }()
 	for range maxStrayAnswers + 1 {
 		response, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, err
+			return nil, NoMatch, err
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		if r.Accept == nil || r.Accept(response.StatusCode, mesh.Headers(response.Header)) {
-			return response, nil
+		match = MatchByID
+		if r.Match != nil {
+			match = r.Match(response.StatusCode, mesh.Headers(response.Header))
+		}
+		if match != NoMatch {
+			return response, match, nil
 		}
 		if response.ContentLength < 0 || response.ContentLength > maxStrayBody {
-			return nil, ErrNoMatchingAnswer
+			return nil, NoMatch, ErrNoMatchingAnswer
 		}
 		c.source.left += int(response.ContentLength)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, err
+			return nil, NoMatch, err
 		}
 	}
-	return nil, ErrNoMatchingAnswer
+	return nil, NoMatch, ErrNoMatchingAnswer
 }
 
 // bufferBody buffers a body of up to maxBufferedBody bytes; a larger one is streamed.
