agent: take no request during a shutdown that could outlive it

Callers of a node that was stopped saw their connections closed 5.7 s after SIGTERM, with payouts at work, for requests that the node had taken seconds after it had begun to shut down.

Cause: the listeners were shut down one after the other under one deadline, the peers' listener first. While a long request of another node ran, the callers' listener went on taking every request until the deadline. The test shows it: without the long request it passes on the old code, with it all requests in flight at the end are cut off. Not the cause: requests sent before callers could notice the shutdown, connections closed before their requests were read.

Change: once callers have had time to notice the shutdown, the node takes only requests whose deadlines lie before its end, and nested calls of requests that its target is running. Others are refused (node-leaving, not run). Requests still in flight shortly before the end are interrupted and get an answer that says whether they may have run; other nodes repeat idempotent ones, as they did after a closed connection.

--- a/internal/mesh/accept/serve.go
+++ b/internal/mesh/accept/serve.go
@@ -94,8 +94,8 @@
 // ReadBody reads a request body of at most limit bytes. It refuses a request whose body is
 // larger, or does not arrive before ctx is done.
 func ReadBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) (body []byte, refusal *mesh.Refusal) {
-	if err := ctx.Err(); err != nil {
-		return nil, mesh.Interrupted(err, header.NotRun, "before the request was handled")
+	if ctx.Err() != nil {
+		return nil, mesh.Interrupted(context.Cause(ctx), header.NotRun, "before the request was handled")
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -119,7 +119,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return body, mesh.Interrupted(context.DeadlineExceeded, header.NotRun, "before the body arrived")
 	case err != nil && ctx.Err() != nil:
-		return body, mesh.Interrupted(ctx.Err(), header.NotRun, "before the body arrived")
+		return body, mesh.Interrupted(context.Cause(ctx), header.NotRun, "before the body arrived")
 	case err != nil:
 		return body, mesh.NotRun(header.BodyBroken, "reading the body failed: %v", err)
 	}
--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -38,15 +38,6 @@
 	// idleTimeout is how long a listener keeps an idle connection. It exceeds the idle
 	// timeouts of clients and nodes, so that they close the connection first.
 	idleTimeout = time.Minute
-
-	// notReadyFraction is the fraction of the shutdown timeout during which the node reports
-	// that it is not ready but still serves. Callers poll readiness once per second and stop
-	// sending after two failed polls.
-	notReadyFraction = 0.4
-
-	// drainFraction is the fraction of the shutdown timeout by which in-flight requests must
-	// have finished.
-	drainFraction = 0.95
 )
 
 // Platform holds what differs between platforms: the stores of the configuration and of the
@@ -114,10 +105,12 @@
 	probe := newProbeDuty(vars, s, a.platform.Dialect, target, member, logs.WithPrefix(l, "probe"))
 	follow.member, follow.quota, follow.gate, follow.probe = member, quotas, gates, probe
 	member.socket, member.quota, member.gate, member.follow, member.fetch = socket, quotas, gates, follow, fetch
+	ending, end := context.WithCancelCause(context.Background())
 	a.handler = &requestHandler{
 		settings: s, dialect: a.platform.Dialect,
 		follow: follow, member: member, quota: quotas, picker: picker, gate: gates, meter: measures,
 		links: newPeerPools(), target: target, deliveries: newDeliveries(), log: logs.WithPrefix(l, "front"),
+		ending: ending, end: end,
 	}
 	watch := newWatchDuty(vars, a.platform.Source, follow, member, logs.WithPrefix(l, "watch"))
 	member.watch = watch
@@ -261,35 +254,3 @@
 		close(closed)
 	})
 }
-
-// addShutdown adds the graceful shutdown, which starts when ctx is done.
-func (a *Agent) addShutdown(ctx context.Context, group *run.Group) {
-	failed, fail := context.WithCancel(context.Background())
-	group.Add(func() error {
-		select {
-		case <-ctx.Done():
-			a.shutdown(failed)
-		case <-failed.Done():
-		}
-		return nil
-	}, func(error) { fail() })
-}
-
-// shutdown shuts the node down gracefully. It notifies the other nodes at once to send no more
-// requests, serves callers until they have noticed that the node is not ready, and then waits
-// for in-flight requests.
-func (a *Agent) shutdown(ctx context.Context) {
-	start, limit := time.Now(), a.settings.ShutdownTimeout
-	a.log.Infof("leaving; waiting for in-flight requests to finish.")
-	a.handler.leaving.Store(true)
-	_ = a.handler.member.events.Send(ctx, leaving{})
-	sleep(ctx, time.Duration(notReadyFraction*float64(limit)))
-	end := start.Add(time.Duration(drainFraction * float64(limit)))
-	ctx, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
-	for _, s := range a.servers {
-		if err := s.http.Shutdown(ctx); err != nil {
-			a.log.Warnf("shutdown of the %s listener did not complete: %v.", s.name, err)
-		}
-	}
-}
--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -25,7 +25,7 @@
 
 // requestHandler handles the requests of callers, of the local target and of other nodes by
 // means of the duties. Its own mutable state is the requests running at the local target, the
-// shutdown flag and the size of buffered request bodies.
+// progress of the shutdown and the size of buffered request bodies.
 type requestHandler struct {
 	settings Settings
 	dialect  mesh.Dialect
@@ -45,6 +45,14 @@
 	// leaving is true once the shutdown has started; it is never cleared.
 	leaving atomic.Bool
 
+	// lastAnswer is the time by which the shutdown ends all requests; nil until callers have had
+	// time to notice the shutdown.
+	lastAnswer atomic.Pointer[time.Time]
+
+	// ending is done from lastAnswer on, with mesh.ErrShutdown as its cause.
+	ending context.Context
+	end    context.CancelCauseFunc
+
 	// bufferedBytes is the total size of request bodies in memory.
 	bufferedBytes atomic.Int64
 }
@@ -70,7 +78,7 @@
 	if refusal != nil {
 		return rh.finish(c, arrived, call, nil, refusal)
 	}
-	ctx, cancel := context.WithDeadline(c.Request().Context(), call.Deadline)
+	ctx, cancel := rh.requestContext(c.Request().Context(), call.Deadline)
 	defer cancel()
 	body, refusal := rh.readBody(ctx, c)
 	defer rh.bufferedBytes.Add(-int64(cap(body)))
@@ -124,7 +132,7 @@
 	if organisation == nil {
 		rh.inheritPriority(call, info.Parent)
 	}
-	return call, organisation, nil
+	return call, organisation, rh.refuseLate(call)
 }
 
 // inheritPriority gives a nested call of the target on this host the class and rank of its
--- a/internal/mesh/agent/gate.go
+++ b/internal/mesh/agent/gate.go
@@ -127,7 +127,7 @@
 		return e.(admission)
 	case <-ctx.Done():
 		d.send(enterCancelled{ticket: ticket})
-		return admission{refusal: mesh.Interrupted(ctx.Err(), header.NotRun, "while the request was queued for the target")}
+		return admission{refusal: mesh.Interrupted(context.Cause(ctx), header.NotRun, "while the request was queued for the target")}
 	}
 }
 
--- a/internal/mesh/agent/place.go
+++ b/internal/mesh/agent/place.go
@@ -86,7 +86,7 @@
 		p := e.(pickReply)
 		return p.to, p.refusal
 	case <-ctx.Done():
-		return to, mesh.Interrupted(ctx.Err(), header.NotRun, "before a target was chosen")
+		return to, mesh.Interrupted(context.Cause(ctx), header.NotRun, "before a target was chosen")
 	}
 }
 
--- a/internal/mesh/agent/quota.go
+++ b/internal/mesh/agent/quota.go
@@ -134,7 +134,7 @@
 	case e := <-reply.Events():
 		return e.(admitReply).refusal
 	case <-ctx.Done():
-		return mesh.Interrupted(ctx.Err(), header.NotRun, "before the request was admitted")
+		return mesh.Interrupted(context.Cause(ctx), header.NotRun, "before the request was admitted")
 	}
 }
 
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -103,7 +103,7 @@
 		return false
 	case refusal.Outcome == header.NotRun && refusal.Code != header.TargetRefused:
 		return true
-	case refusal.Outcome == header.Unknown && !(call.Route.Idempotent && refusal.Code == header.AnswerLost):
+	case refusal.Outcome == header.Unknown && !(call.Route.Idempotent && (refusal.Code == header.AnswerLost || refusal.Code == header.NodeLeaving)):
 		return false
 	}
 	if call.AttemptsLeft == 0 || !rh.picker.AllowRetry(ctx, call) {
@@ -187,7 +187,7 @@
 
 // exchangeRefusal converts the error of an exchange to a refusal.
 func exchangeRefusal(sent bool, err error, what string) (refusal *mesh.Refusal) {
-	contextDone := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+	contextDone := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) || errors.Is(err, mesh.ErrShutdown)
 	switch {
 	case contextDone && !sent:
 		return mesh.Interrupted(err, header.NotRun, "before the request was sent to the "+what)
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -31,7 +31,7 @@
 	if rh.follow.View() == nil {
 		return writePeerRefusal(c, call, notReady())
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+	ctx, cancel := rh.requestContext(r.Context(), call.Deadline)
 	defer cancel()
 	body, refusal := rh.readBody(ctx, c)
 	defer rh.bufferedBytes.Add(-int64(cap(body)))
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -281,7 +281,7 @@
 
 // Exchange sends a request and returns its answer. After an error, sent reports whether any
 // byte of the request may have left this host. When ctx is done, the connection is closed,
-// which signals the remote end to stop.
+// which signals the remote end to stop, and the error is the cause of ctx.
 func (p *Pool) Exchange(ctx context.Context, r *Request) (answer *Response, sent bool, err error) {
 	c := p.get(time.Now(), r.ID)
 	if c == nil {
@@ -289,17 +289,17 @@
 			return nil, false, err
 		}
 	}
-	if err := ctx.Err(); err != nil {
+	if ctx.Err() != nil {
 		p.put(c)
-		return nil, false, err
+		return nil, false, context.Cause(ctx)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	answer, sent, err = p.roundTrip(c, r, stop)
 	if err != nil {
 		stop()
 		_ = c.Close()
-		if cause := ctx.Err(); cause != nil {
-			err = cause
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
 		}
 	}
 	return answer, sent, err
--- a/internal/mesh/refuse.go
+++ b/internal/mesh/refuse.go
@@ -32,14 +32,21 @@
 	return fmt.Sprintf("%s (%s): %s", r.Code, r.Outcome, r.Message)
 }
 
-// Interrupted returns the refusal of a request whose context ended with err. The context of a
-// request is cancelled only when its caller closes the connection. doing says what the node
-// was doing.
-func Interrupted(err error, outcome header.OutcomeValue, doing string) (refusal *Refusal) {
-	if errors.Is(err, context.Canceled) {
+// ErrShutdown is the cause of a context that ended because the node shuts down.
+var ErrShutdown = errors.New("the node is shutting down")
+
+// Interrupted returns the refusal of a request whose context ended because of cause. The context of
+// a request is cancelled only when its caller closes the connection, or with ErrShutdown. doing says
+// what the node was doing.
+func Interrupted(cause error, outcome header.OutcomeValue, doing string) (refusal *Refusal) {
+	switch {
+	case errors.Is(cause, ErrShutdown):
+		return &Refusal{Code: header.NodeLeaving, Outcome: outcome, Message: "the node shut down " + doing}
+	case errors.Is(cause, context.Canceled):
 		return &Refusal{Code: header.CallerLeft, Outcome: outcome, Message: "the caller disconnected " + doing}
+	default:
+		return &Refusal{Code: header.DeadlineExceeded, Outcome: outcome, Message: "the deadline passed " + doing}
 	}
-	return &Refusal{Code: header.DeadlineExceeded, Outcome: outcome, Message: "the deadline passed " + doing}
 }
 
 // NotRun returns the refusal of a request of which no byte reached a target.
