agent: keep the callers' listener open while the target runs requests

A request that ran at the target beside a node that was stopped ended with the target's 500 when it made a nested call 0.4 of the shutdown's time after SIGTERM or later.

Cause: the listener for callers, through which nested calls come, closed once no request of another node was left. Requests of the host's own callers were not waited for. Found while the cause of the cut requests was looked for on related paths.

Change: the shutdown waits until the target runs no request before it closes that listener, at most until its end.

--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -129,6 +129,10 @@
 	addr netip.AddrPort
 	http *http.Server
 
+	// awaitUnused blocks until nothing needs the listener any more, or ctx is done; nil when only
+	// its own requests do.
+	awaitUnused func(ctx context.Context)
+
 	// listener is set while the agent runs.
 	listener net.Listener
 }
@@ -148,11 +152,13 @@
 	metrics.GET("/metrics", func(c echo.Context) error { return c.String(http.StatusOK, a.vars.String()+"\n") })
 
 	reports := a.platform.Reports(member.Announce)
-	// Servers are shut down in this order: a target that still runs a request of another node
-	// makes its nested calls through the listener for callers.
+	// Servers are shut down in this order: a target that still runs a request makes its nested
+	// calls through the listener for callers.
+	forCallers := newServer("callers", a.settings.Callers, callers)
+	forCallers.awaitUnused = a.handler.deliveries.awaitNone
 	return []*server{
 		newServer("peers", a.settings.PeerBind, peers),
-		newServer("callers", a.settings.Callers, callers),
+		forCallers,
 		newControlServer("ready", a.settings.Ready, ready),
 		newControlServer("reports", a.settings.Reports, reports),
 		newControlServer("metrics", a.settings.Metrics, metrics),
--- a/internal/mesh/agent/deliveries.go
+++ b/internal/mesh/agent/deliveries.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"sync"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
@@ -13,6 +14,9 @@
 type deliveries struct {
 	mu      sync.Mutex
 	running map[string]*mesh.Call
+
+	// none is closed once no request is running; nil until the shutdown waits for that.
+	none chan struct{}
 }
 
 func newDeliveries() (d *deliveries) { return &deliveries{running: make(map[string]*mesh.Call)} }
@@ -32,6 +36,26 @@
 	if d.running[call.CallerRequestID] == call {
 		delete(d.running, call.CallerRequestID)
 	}
+	if len(d.running) == 0 && d.none != nil {
+		close(d.none)
+		d.none = nil
+	}
+}
+
+// awaitNone blocks until no request is running or ctx is done.
+func (d *deliveries) awaitNone(ctx context.Context) {
+	d.mu.Lock()
+	if len(d.running) == 0 {
+		d.mu.Unlock()
+		return
+	}
+	none := make(chan struct{})
+	d.none = none
+	d.mu.Unlock()
+	select {
+	case <-none:
+	case <-ctx.Done():
+	}
 }
 
 // find returns the running request with the id.
--- a/internal/mesh/agent/shutdown.go
+++ b/internal/mesh/agent/shutdown.go
@@ -52,6 +52,9 @@
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	for _, s := range a.servers {
+		if s.awaitUnused != nil {
+			s.awaitUnused(ctx)
+		}
 		if err := s.http.Shutdown(ctx); err != nil {
 			a.log.Warnf("shutdown of the %s listener did not complete: %v.", s.name, err)
 		}
