fleet: keep the cold time of the health check over the first report

A target that had restarted under its old id beside a restarted node got its full rate while it was cold, when a report of its earlier start arrived late.

Cause: as with a stop before the first report, the health check does not tell the incarnation, so the first report counts whichever start it belongs to.

Change: the first report after the health check does not shorten the cold time that the check has shown.

Before: TestLateReportOfEarlierStart failed with no cold time left after the late report. After: it passes.

--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -215,6 +215,10 @@
 		return false, false
 	}
 	s.reports[t.Name] = lastReport{incarnation: t.Incarnation, sequence: a.Sequence, at: now}
+	if checked, found := s.Target(t.Name); found && last.incarnation == 0 && last.sequence == 0 && t.ColdUntil.Before(checked.ColdUntil) {
+		// The first report after the health check may be a late one of an earlier start.
+		t.ColdUntil = checked.ColdUntil
+	}
 	i := slices.IndexFunc(s.self.Targets, func(known mesh.Target) bool { return known.Addr == t.Addr })
 	switch {
 	case i < 0:
@@ -229,6 +233,15 @@
 	return true, true
 }
 
+// Target returns the local target with the name.
+func (s *State) Target(name string) (t mesh.Target, found bool) {
+	i := slices.IndexFunc(s.self.Targets, func(known mesh.Target) bool { return known.Name == name })
+	if i < 0 {
+		return t, false
+	}
+	return s.self.Targets[i], true
+}
+
 // replaced reports whether a target that started later now uses the address.
 func (s *State) replaced(t mesh.Target) bool {
 	return slices.ContainsFunc(s.self.Targets, func(known mesh.Target) bool {
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -109,6 +109,23 @@
 	}
 }
 
+// TestLateReportOfEarlierStart guards against a report of an earlier start that arrives late at a
+// restarted node, and ends the cold start that the health check has shown.
+func TestLateReportOfEarlierStart(t *testing.T) {
+	checked := target("i", 0)
+	checked.ColdUntil = start.Add(3 * time.Second)
+	s := New(self)
+	s.ApplyReport(start, mesh.Announcement{Target: checked})
+	s.ApplyReport(start.Add(time.Second), mesh.Announcement{Target: target("i", 1), Sequence: 9})
+	if got, _ := s.Target("i"); !got.ColdUntil.Equal(checked.ColdUntil) {
+		t.Errorf("after the late report: got cold until %v, want %v", got.ColdUntil, checked.ColdUntil)
+	}
+	s.ApplyReport(start.Add(2*time.Second), mesh.Announcement{Target: target("i", 2), Sequence: 1})
+	if got, _ := s.Target("i"); !got.ColdUntil.IsZero() {
+		t.Errorf("after a report of a later start: got cold until %v, want none", got.ColdUntil)
+	}
+}
+
 // TestSilentTarget guards against requests to a target that stopped without reporting it.
 func TestSilentTarget(t *testing.T) {
 	s := New(self)
