node: show that a late copy of a rejection passes for the next answer

A request through the product's own interface is refused as not run and runs, when a target sends its rejection of the request before a second time, late.

Cause: targets of this interface do not name the request in their answers, and net/http returns the connection to its pool before the rejection is known. The nodes on the platform (agent) use connections of their own and are not affected. Closing the connection when the next request gets it was weighed: it is too late when another request has it already.

--- a/internal/mesh/node/outcome_test.go
+++ b/internal/mesh/node/outcome_test.go
@@ -441,6 +441,41 @@
 	}
 }
 
+// TestRejectionSentTwice guards against a late copy of a target's rejection that is taken for the
+// answer to the next request on the connection, which is then refused as not run and runs.
+func TestRejectionSentTwice(t *testing.T) {
+	const rejection = "HTTP/1.1 503 Service Unavailable\r\n" + header.Outcome + ": not-run\r\nContent-Length: 0\r\n\r\n"
+	var mu sync.Mutex
+	copies, ran := make(map[net.Conn]bool), make(map[string]int)
+	target := newScriptedTarget(t, func(n int, conn net.Conn, r *http.Request) (open bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		if copies[conn] {
+			delete(copies, conn)
+			if _, err := io.WriteString(conn, rejection); err != nil {
+				return false
+			}
+		}
+		if n%2 == 1 {
+			copies[conn] = true
+			_, err := io.WriteString(conn, rejection)
+			return err == nil
+		}
+		ran[r.Header.Get(header.RequestID)]++
+		return answerID(n, conn, r)
+	})
+	r := newNodeFixture(t, target.addr())
+	for range 20 {
+		a := r.send(http.MethodPost, "/ledger/single", []byte("body"))
+		mu.Lock()
+		got := ran[a.id]
+		mu.Unlock()
+		if a.outcome == header.NotRun && got > 0 || got > 1 {
+			t.Errorf("request %s: got outcome %s and %d runs", a.id, a.outcome, got)
+		}
+	}
+}
+
 // TestNestedCallAfterDelivery guards against a nested call that runs after its parent
 // request has ended.
 func TestNestedCallAfterDelivery(t *testing.T) {
