fleet, link: look targets up by address, name the cause of a cancelled dial

A target that starts again under its id at another address has two entries for a moment; the lookup by name after its report could return the older one to the gate. A dial that the shutdown cancels is now reported as such, not as a caller that left.

--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -280,7 +280,7 @@
 		})
 		return
 	}
-	a.Target, _ = d.state.Target(a.Target.Name)
+	a.Target = d.state.Target(a.Target.Addr)
 	_ = d.gate.events.Send(ctx, targetReported{target: a.Target})
 	if !changed {
 		return
--- a/internal/mesh/fleet/fleet.go
+++ b/internal/mesh/fleet/fleet.go
@@ -215,7 +215,7 @@
 		return false, false
 	}
 	s.reports[t.Name] = lastReport{incarnation: t.Incarnation, sequence: a.Sequence, at: now}
-	if checked, found := s.Target(t.Name); found && last.incarnation == 0 && last.sequence == 0 && t.ColdUntil.Before(checked.ColdUntil) {
+	if checked := s.Target(t.Addr); checked.Name == t.Name && last.incarnation == 0 && last.sequence == 0 && t.ColdUntil.Before(checked.ColdUntil) {
 		// The first report after the health check may be a late one of an earlier start.
 		t.ColdUntil = checked.ColdUntil
 	}
@@ -233,13 +233,12 @@
 	return true, true
 }
 
-// Target returns the local target with the name.
-func (s *State) Target(name string) (t mesh.Target, found bool) {
-	i := slices.IndexFunc(s.self.Targets, func(known mesh.Target) bool { return known.Name == name })
-	if i < 0 {
-		return t, false
+// Target returns the local target at the address, or the zero value when there is none.
+func (s *State) Target(addr netip.AddrPort) (t mesh.Target) {
+	if i := slices.IndexFunc(s.self.Targets, func(known mesh.Target) bool { return known.Addr == addr }); i >= 0 {
+		return s.self.Targets[i]
 	}
-	return s.self.Targets[i], true
+	return t
 }
 
 // replaced reports whether a target that started later now uses the address.
--- a/internal/mesh/fleet/fleet_test.go
+++ b/internal/mesh/fleet/fleet_test.go
@@ -117,11 +117,11 @@
 	s := New(self)
 	s.ApplyReport(start, mesh.Announcement{Target: checked})
 	s.ApplyReport(start.Add(time.Second), mesh.Announcement{Target: target("i", 1), Sequence: 9})
-	if got, _ := s.Target("i"); !got.ColdUntil.Equal(checked.ColdUntil) {
+	if got := s.Target(checked.Addr); !got.ColdUntil.Equal(checked.ColdUntil) {
 		t.Errorf("after the late report: got cold until %v, want %v", got.ColdUntil, checked.ColdUntil)
 	}
 	s.ApplyReport(start.Add(2*time.Second), mesh.Announcement{Target: target("i", 2), Sequence: 1})
-	if got, _ := s.Target("i"); !got.ColdUntil.IsZero() {
+	if got := s.Target(checked.Addr); !got.ColdUntil.IsZero() {
 		t.Errorf("after a report of a later start: got cold until %v, want none", got.ColdUntil)
 	}
 }
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -286,6 +286,9 @@
 	c := p.get(time.Now(), r.ID)
 	if c == nil {
 		if c, err = p.open(ctx); err != nil {
+			if ctx.Err() != nil {
+				err = context.Cause(ctx)
+			}
 			return nil, false, err
 		}
 	}
