--- /dev/null
+++ b/review/second/platform/silent.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// silentStore makes the open connections to the store silent shortly before a key is taken away.
+func silentStore(f *fleet) {
+	const (
+		perSecond = 40
+		inTouch   = 3 * time.Second
+		apply     = 2 * time.Second
+	)
+	var mu sync.Mutex
+	runs := make(map[string]time.Time)
+	serve := func(i *instance, c net.Conn, r *bufio.Reader) {
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if i.health(c, q) {
+				continue
+			}
+			_, _ = io.Copy(io.Discard, q.Body)
+			id := q.Header.Get("X-Request-Id")
+			mu.Lock()
+			runs[id] = time.Now()
+			mu.Unlock()
+			f.add("instance %s runs %s for %s", i.id, id, q.Header.Get("X-Tenant"))
+			time.Sleep(20 * time.Millisecond)
+			if _, err := io.WriteString(c, ok(id, 200)); err != nil {
+				return
+			}
+		}
+	}
+	between := f.newProxy(f.storeAddr)
+	f.storeAddr = between.addr
+	for _, zone := range []string{"zone-a", "zone-b", "zone-c"} {
+		f.addMachine("shop", zone)
+		f.addMachine("pay", zone)
+	}
+	timeout := 5.0
+	publish := func(keys ...string) {
+		f.tenants = []tenant{{Name: "calm", Keys: []string{"key-of-calm"}}, {Name: "leaver", Keys: keys}}
+		f.publish([]route{
+			{Name: "pay", Prefix: "/pay/", Kind: "non_idempotent", Timeout: timeout, Target: 1.2, Service: "pay", Attempts: 2},
+			{Name: "shop", Prefix: "/shop/", Kind: "idempotent", Timeout: timeout, Target: 1.2, Service: "shop", Attempts: 2},
+		}, []service{{"shop", "/health", 364, 3, 8.4}, {"pay", "/health", 364, 3, 8.4}})
+	}
+	publish("key-1", "key-2")
+	for _, m := range f.machines {
+		i := m.newInstance("i-"+m.name, 44, serve)
+		f.startWith(m, i)
+	}
+	f.awaitReady()
+	timeout = 4
+	publish("key-1", "key-2")
+	time.Sleep(300 * time.Millisecond)
+	silentAt := time.Now()
+	if trouble() {
+		f.add("%d open connections to the store fall silent; new ones work", between.silence())
+	}
+	time.Sleep(200 * time.Millisecond)
+	publish("key-1")
+	acked := time.Now()
+	f.add("key-2 is taken away")
+	from := acked.Add(apply)
+	if at := silentAt.Add(inTouch); trouble() && at.After(from) {
+		from = at
+	}
+	from = from.Add(50 * time.Millisecond) // What the record and the clients may be off.
+	var wg sync.WaitGroup
+	broken := 0
+	for n := 0; time.Since(silentAt) < 8*time.Second; n++ {
+		wg.Go(func() {
+			m := f.machines[n%len(f.machines)]
+			c := call{method: http.MethodPost, path: "/pay/x", id: newID(), key: "key-2", body: []byte("amount=1"), limit: 4 * time.Second}
+			sent := time.Now()
+			status, _, err := m.send(c)
+			mu.Lock()
+			defer mu.Unlock()
+			_, ran := runs[c.id]
+			f.add("client of %s: %s with key-2, sent %v after it was taken away, ended with %d, %v; ran: %v", m.name, c.id, sent.Sub(acked).Round(time.Millisecond), status, err, ran)
+			if ran && sent.After(from) {
+				broken++
+			}
+		})
+		time.Sleep(time.Second / perSecond)
+	}
+	wg.Wait()
+	f.finish(broken > 0, "%d requests with the key ran that were sent later than %v after the ack, through machines in touch", broken, from.Sub(acked).Round(time.Millisecond))
+}
