Review case 10: a target that left before its node was killed is in use again

It takes the place of the target that turns cold between two reports, which stays playable and is in the report.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # The build of the deploy file and review/build-2.sh come first. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/quetzalstack ] && [ -x ../../target/second ] || exit 2
-exec ../../target/second cold-again .
+exec ../../target/second late-report .
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -11,7 +11,7 @@
 
 func main() {
 	cases := map[string]func(f *fleet){
-		"slow-instance": slowInstance, "stray-bytes": strayBytes, "cold-again": coldAgain, "late-report": lateReport, "early-answer": earlyAnswer, "silent-store": silentStore,
+		"slow-instance": slowInstance, "stray-bytes": strayBytes, "cold-again": coldAgain, "late-report": lateReport, "early-answer": earlyAnswer, "turned-away": turnedAway, "silent-store": silentStore,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: second CASE FOLDER")
--- a/review/second/platform/proxy.go
+++ b/review/second/platform/proxy.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // proxy forwards connections on a loopback address. It can silence those that are open.
@@ -12,6 +13,10 @@
 	addr, to string
 	mu       sync.Mutex
 	open     map[*forward]bool
+	closed   bool
+
+	// asked is when the node last sent something to the store.
+	asked time.Time
 }
 
 // forward is one forwarded connection.
@@ -33,6 +38,14 @@
 			if err != nil {
 				return
 			}
+			p.mu.Lock()
+			closed := p.closed
+			p.mu.Unlock()
+			if closed {
+				_ = from.(*net.TCPConn).SetLinger(0) // A reset.
+				_ = from.Close()
+				continue
+			}
 			to, err := net.Dial("tcp", p.to)
 			if err != nil {
 				_ = from.Close()
@@ -62,6 +75,11 @@
 			return
 		}
 		if n > 0 {
+			if from == c.from {
+				p.mu.Lock()
+				p.asked = time.Now()
+				p.mu.Unlock()
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -88,3 +106,24 @@
 	}
 	return len(p.open)
 }
+
+// turnAway resets the open connections and all new ones, or serves again.
+func (p *proxy) turnAway(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = on
+	for c := range p.open {
+		if on {
+			_ = c.from.(*net.TCPConn).SetLinger(0)
+			_ = c.from.Close()
+			_ = c.to.Close()
+		}
+	}
+}
+
+// follows reports whether the node has asked the store within the time.
+func (p *proxy) follows(within time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.asked) < within
+}
