--- a/review/third/platform/brokencopy.go
+++ b/review/third/platform/brokencopy.go
@@ -24,7 +24,7 @@
 
 	// conflictShare of the requests are answered 409, as when a payout was settled before, and fullShare
 	// are rejected since the instance is full.
-	conflictShare = 0.2
+	conflictShare = 0.3
 	fullShare     = 0.05
 
 	copyClients = 32
--- a/review/third/platform/instance.go
+++ b/review/third/platform/instance.go
@@ -45,7 +45,7 @@
 func signatureOf(id string) (signature string) { return "proof-of-" + id }
 
 // answerSize is the size of the body of an answer.
-const answerSize = 200
+const answerSize = 20
 
 func (i *instance) start() (err error) {
 	l, err := net.Listen("tcp4", i.addr)
