--- a/review/third/platform/deployment.go
+++ b/review/second/later/platform/deployment.go
@@ -53,6 +53,10 @@
 	if err := d.findNetwork(); err != nil {
 		return d, err
 	}
+	storeAddr := fmt.Sprintf("127.%d.200.1:%d", d.network, d.base)
+	if err := d.store.listen(storeAddr); err != nil {
+		return d, err
+	}
 	zones := make(map[string]string)
 	for _, p := range places {
 		zones[p.zone] = p.region
@@ -61,12 +65,9 @@
 		ip := fmt.Sprintf("127.%d.1.%d", d.network, k+1)
 		n := &node{
 			name: fmt.Sprintf("machine-%d", k+1), ip: ip, reached: ip, zone: p.zone, zones: zones, service: p.service, base: d.base,
-			folder: d.temporary, binary: binary, rec: d.rec, storeAddr: fmt.Sprintf("127.%d.200.%d:%d", d.network, k+1, d.base),
+			folder: d.temporary, binary: binary, rec: d.rec, storeAddr: storeAddr,
 		}
 		n.app = n.port(appPort)
-		if err := d.store.listen(n.name, n.storeAddr); err != nil {
-			return d, err
-		}
 		d.nodes = append(d.nodes, n)
 		d.instances = append(d.instances, &instance{
 			id: fmt.Sprintf("i-7f3a91c%d", k+1), service: p.service, zone: p.zone, addr: n.app, control: n.port(controlPort), slots: 44, rec: d.rec,
--- a/review/third/platform/main.go
+++ b/review/second/later/platform/main.go
@@ -1,4 +1,4 @@
-// Command platform plays a case of the review: the nodes of a small deployment, with stand-ins for the
+// Command platform plays a script of the second review, of its later sitting: the nodes of a small deployment, with stand-ins for the
 // platform's store, its instances and clients.
 package main
 
@@ -25,7 +25,6 @@
 var plays = map[string]play{
 	"broken-copy":  {brokenCopyPlaces, brokenCopy},
 	"planned-stop": {plannedStopPlaces, plannedStop},
-	"turned-away":  {turnedAwayPlaces, turnedAway},
 	"tenant-back":  {tenantBackPlaces, tenantBack},
 	"lost-regions": {lostRegionsPlaces, lostRegions},
 }
--- a/review/third/platform/store.go
+++ b/review/second/later/platform/store.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -24,8 +23,7 @@
 
 type rowKey struct{ table, part, key string }
 
-// store is a stand-in for the platform's metadata store. Each machine reaches it at an address of its own,
-// by which the store tells machines apart.
+// store is a stand-in for the platform's metadata store.
 type store struct {
 	mu      sync.Mutex
 	rows    map[rowKey]row
@@ -36,18 +34,10 @@
 
 	// changed is closed and replaced on each change.
 	changed chan struct{}
-
-	// away holds the machines that the store turns away, and waiting the number of calls of each machine
-	// that wait for changes.
-	away    map[string]bool
-	waiting map[string]int
 }
 
 func newStore() (s *store) {
-	s = &store{
-		rows: make(map[rowKey]row), changed: make(chan struct{}), begun: time.Now(),
-		away: make(map[string]bool), waiting: make(map[string]int),
-	}
+	s = &store{rows: make(map[rowKey]row), changed: make(chan struct{}), begun: time.Now()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-parts", s.parts)
@@ -57,54 +47,16 @@
 	return s
 }
 
-type machineKey struct{}
-
-// listen serves one machine at an address.
-func (s *store) listen(machine, addr string) (err error) {
+// listen serves the store at an address.
+func (s *store) listen(addr string) (err error) {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return err
 	}
-	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.turnsAway(machine) {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		s.handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), machineKey{}, machine)))
-	}))
+	go http.Serve(l, s.handler)
 	return nil
 }
 
-func (s *store) turnsAway(machine string) (away bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.away[machine]
-}
-
-// turnAway replaces the machines that the store turns away. Their waiting calls end with 503.
-func (s *store) turnAway(machines []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	clear(s.away)
-	for _, m := range machines {
-		s.away[m] = true
-	}
-	s.notify()
-}
-
-// followers returns the machines that wait for changes.
-func (s *store) followers() (machines []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for m, n := range s.waiting {
-		if n > 0 {
-			machines = append(machines, m)
-		}
-	}
-	slices.Sort(machines)
-	return machines
-}
-
 // put writes a row of the operator.
 func (s *store) put(key string, value []byte) {
 	s.mu.Lock()
@@ -179,17 +131,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	machine, _ := r.Context().Value(machineKey{}).(string)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.waiting[machine]++
-	defer func() { s.waiting[machine]-- }()
 	end := time.After(time.Duration(min(wait, 30000)) * time.Millisecond)
 	for ended := false; ; {
-		if s.away[machine] {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		rows := []row{}
 		for _, h := range s.history {
 			if h.Table == q.Get("table") && h.Ver > after {
