--- a/review/second/later/platform/main.go
+++ b/review/second/later/platform/main.go
@@ -55,7 +55,7 @@
 		fmt.Println("the case could not run:", err)
 		return exitNotRun
 	}
-	fmt.Printf("%d requests, %d runs, %.0f s\n", len(d.rec.requests), len(d.rec.runs), time.Since(begun).Seconds())
+	fmt.Printf("%d requests, %d runs, %d times broken, %.0f s\n", len(d.rec.requests), len(d.rec.runs), len(d.rec.breaks), time.Since(begun).Seconds())
 	for k, text := range d.rec.breaks {
 		if k == 10 {
 			fmt.Println("...")
