--- a/review/second/later/platform/brokencopy.go
+++ b/review/second/later/platform/brokencopy.go
@@ -17,7 +17,7 @@
 const (
 	// garblePeriods times the instance is faulty for garbleTime, with garblePause between. Meanwhile it
 	// sends a second copy of a share of its answers.
-	garblePeriods = 5
+	garblePeriods = 9
 	garbleTime    = 5 * time.Second
 	garblePause   = 3 * time.Second
 	garbleShare   = 0.03
@@ -27,7 +27,7 @@
 	conflictShare = 0.3
 	fullShare     = 0.05
 
-	copyClients = 32
+	copyClients = 48
 )
 
 // copier answers the requests of an instance. While faulty, it sends second copies of some answers late,
