agent: take a late nested call only where it is expected to end in time

Callers could not know whether the calls, which must not run twice, had run.

Cause: after 0.4 of the shutdown's time a node refuses requests whose deadline lies behind its end, but it took every nested call of a request that its target runs, however long the call would take. Everything in flight was interrupted at 5.60 s of 6 s. The script's record shows the 502 and the close of the targets' connections in the millisecond for which endBy is set; with calls of 30 ms and the same time limit nothing is broken off.

Change: the package timing keeps how long requests of each route take. A nested call whose deadline lies behind the shutdown's last answer is refused, not run, when 95 % of the recent requests of its route took longer than the node has left. With fewer than 20 of them the longest counts, and on routes that are not idempotent the latency objective too. Each attempt is checked. The time that a target is given ends with the shutdown, and each hop keeps the margin for the return also before the target, so a call that turns out long ends with the target's own answer. The last answer comes 0.2 s before the end of the grace time, and the process ends as soon as it is written.

A refused call fails its parent request, which could not be answered either if the call were as long as expected.

--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -23,6 +23,7 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/memory"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/meter"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/timing"
 )
 
 const (
@@ -126,7 +127,7 @@
 	a.handler = &requestHandler{
 		settings: s, dialect: a.platform.Dialect,
 		follow: follow, member: member, quota: quotas, picker: picker, gate: gates, rollouts: rollouts, meter: measures,
-		links: newPeerPools(a.account), target: target, deliveries: newDeliveries(), log: logs.WithPrefix(l, "front"),
+		links: newPeerPools(a.account), target: target, deliveries: newDeliveries(), estimator: timing.NewQuantiles(), log: logs.WithPrefix(l, "front"),
 		ending: ending, end: end,
 	}
 	watch := newWatchDuty(vars, a.platform.Source, follow, member, logs.WithPrefix(l, "watch"))
--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -42,7 +42,11 @@
 
 	// deliveries are the requests that the target on this host is running.
 	deliveries *deliveries
-	log        logs.Log
+
+	// estimator knows how long requests take, those of callers of this host and those that its
+	// target runs.
+	estimator mesh.Estimator
+	log       logs.Log
 
 	// leaving is true once the shutdown has started; it is never cleared.
 	leaving atomic.Bool
--- a/internal/mesh/agent/pass.go
+++ b/internal/mesh/agent/pass.go
@@ -96,8 +96,8 @@
 const maxReturnMargin = 10 * time.Millisecond
 
 // nextHopTime returns how much of the remaining time the next hop may use. The rest is
-// reserved so that a refusal that the next hop sends at its deadline still arrives, with the
-// outcome not-run.
+// reserved so that what the next hop sends at its deadline still arrives: the answer of a target, or
+// a refusal with the outcome not-run.
 func nextHopTime(remaining time.Duration) (passed time.Duration) {
 	return remaining - min(maxReturnMargin, remaining/10)
 }
--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -31,6 +31,9 @@
 func (rh *requestHandler) relay(ctx context.Context, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
 	var tried []netip.AddrPort
 	for range maxHops {
+		if late := rh.refuseUnfinished(call); late != nil {
+			return nil, mergeRefusals(refusal, late)
+		}
 		to, failure := rh.chooseWithWait(ctx, call, tried)
 		if failure != nil {
 			return nil, mergeRefusals(refusal, failure)
@@ -136,6 +139,7 @@
 // attempt sends a call to one target, either on this host or through the node of another host.
 func (rh *requestHandler) attempt(ctx context.Context, to mesh.Endpoint, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
 	report := mesh.LinkReport{To: to, Call: call, Reached: true, Level: mesh.ClassLow}
+	rh.boundAttempt(call)
 	started, counted := time.Now(), rh.rollouts.Started(call, to)
 	if to.Host == rh.settings.PeerAddr {
 		answer, refusal = rh.runLocally(ctx, call, to.Target.Name, p)
@@ -145,6 +149,7 @@
 	if counted {
 		rh.rollouts.Ended(call, to, started, answer, refusal)
 	}
+	rh.observe(call, started, refusal)
 	report.Refusal = refusal
 	if refusal == nil {
 		report.Load, report.Room = answer.Load, answer.Room
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -105,7 +105,7 @@
 	for name, values := range p.Header {
 		headers[name] = values
 	}
-	rh.dialect.SetTargetHeaders(headers, call, *in.target, call.Remaining(time.Now()))
+	rh.dialect.SetTargetHeaders(headers, call, *in.target, nextHopTime(call.Remaining(time.Now())))
 	var info mesh.AnswerInfo
 	response, sent, err := rh.target.Exchange(ctx, &link.Request{
 		Method: p.Method, Path: p.Path, Host: p.host, Headers: headers, Body: p.body, Charge: p.holder.Force, ID: call.CallerRequestID,
--- a/internal/mesh/agent/shutdown.go
+++ b/internal/mesh/agent/shutdown.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/oklog/run"
@@ -16,9 +18,10 @@
 	// and stop sending after two failed polls.
 	notReadyFraction = 0.4
 
-	// drainFraction is the fraction of the shutdown timeout by which in-flight requests must
-	// have finished.
-	drainFraction = 0.95
+	// exitTime is the time that the process has to exit after its last answer, and maxExitFraction
+	// the most that it takes of a short shutdown timeout.
+	exitTime        = 100 * time.Millisecond
+	maxExitFraction = 0.05
 
 	// finalAnswerTime is the time before that in which the requests that are still in flight get
 	// their final answers.
@@ -47,18 +50,32 @@
 	a.handler.leaving.Store(true)
 	_ = a.handler.member.events.Send(ctx, leaving{})
 	sleep(ctx, time.Duration(notReadyFraction*float64(limit)))
-	end := start.Add(time.Duration(drainFraction * float64(limit)))
-	a.handler.endBy(end.Add(-finalAnswerTime))
-	ctx, cancel := context.WithDeadline(ctx, end)
+	end := start.Add(limit - min(exitTime, time.Duration(maxExitFraction*float64(limit))))
+	last := end.Add(-finalAnswerTime)
+	a.handler.endBy(last)
+	// net/http polls for the end of requests at intervals that grow to 500 ms; a second call polls
+	// often while the final answers are written.
+	if a.closeServers(ctx, last) != nil {
+		if err := a.closeServers(ctx, end); err != nil {
+			a.log.Warnf("the shutdown did not complete: %v.", err)
+		}
+	}
+}
+
+// closeServers closes the listeners one after the other, each when nothing needs it any more or at
+// the given time.
+func (a *Agent) closeServers(ctx context.Context, by time.Time) (err error) {
+	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
 	for _, s := range a.servers {
 		if s.awaitUnused != nil {
 			s.awaitUnused(ctx)
 		}
-		if err := s.http.Shutdown(ctx); err != nil {
-			a.log.Warnf("shutdown of the %s listener did not complete: %v.", s.name, err)
+		if closeErr := s.http.Shutdown(ctx); closeErr != nil {
+			err = errors.Join(err, fmt.Errorf("close the %s listener: %w", s.name, closeErr))
 		}
 	}
+	return err
 }
 
 // endBy lets the node take no more requests whose deadline is later than last, and interrupts those
@@ -68,18 +85,73 @@
 	time.AfterFunc(time.Until(last), func() { rh.end(mesh.ErrShutdown) })
 }
 
-// refuseLate refuses a call that could still be in flight when the shutdown ends. Nested calls of a
-// request that the target on this host is running belong to a request that has been taken.
+// refuseLate refuses a call that could still be in flight when the shutdown ends. A nested call of a
+// request that the target on this host is running has no other way, so its usual duration decides.
 func (rh *requestHandler) refuseLate(call *mesh.Call) (refusal *mesh.Refusal) {
-	last := rh.lastAnswer.Load()
-	if last == nil || !call.Deadline.After(*last) || call.Nested && !call.ParentUnknown {
+	last, late := rh.outlasts(call)
+	switch {
+	case !late:
+		return nil
+	case call.Nested && !call.ParentUnknown:
+		return rh.refuseUnfinished(call)
+	default:
+		return leavingRefusal(last, "the node is shutting down and will end before the deadline of the request")
+	}
+}
+
+// refuseUnfinished refuses a call that is expected to be in flight when the shutdown ends: its answer
+// could no longer be delivered. Until enough requests of its route have been observed, one that must
+// not run twice is expected to take the latency objective of its route.
+func (rh *requestHandler) refuseUnfinished(call *mesh.Call) (refusal *mesh.Refusal) {
+	last, late := rh.outlasts(call)
+	if !late {
+		return nil
+	}
+	now := time.Now()
+	expected, reliable := rh.estimator.Estimate(now, call.Route.Name)
+	if !reliable && !call.Route.Idempotent {
+		expected = max(expected, call.Route.LatencyObjective)
+	}
+	left := last.Sub(now)
+	if left > 0 && expected <= left {
 		return nil
 	}
-	refusal = mesh.NotRun(header.NodeLeaving, "the node is shutting down and will end before the deadline of the request")
-	refusal.RetryAfter = max(0, time.Until(*last))
+	return leavingRefusal(last, "the node ends in %v and a request of the route takes up to %v", max(0, left), expected)
+}
+
+// outlasts reports whether the deadline of a call lies behind the last answer of the shutdown.
+func (rh *requestHandler) outlasts(call *mesh.Call) (last time.Time, late bool) {
+	p := rh.lastAnswer.Load()
+	if p == nil {
+		return last, false
+	}
+	return *p, call.Deadline.After(*p)
+}
+
+func leavingRefusal(last time.Time, format string, args ...any) (refusal *mesh.Refusal) {
+	refusal = mesh.NotRun(header.NodeLeaving, format, args...)
+	refusal.RetryAfter = max(0, time.Until(last))
 	return refusal
 }
 
+// boundAttempt makes a target stop at the last answer of the shutdown, since nobody waits for a
+// later one.
+func (rh *requestHandler) boundAttempt(call *mesh.Call) {
+	if last, late := rh.outlasts(call); late {
+		call.AnswerBy = last
+	}
+}
+
+// observe records how long a request took that a target has run. One that timed out took at least
+// that long.
+func (rh *requestHandler) observe(call *mesh.Call, started time.Time, refusal *mesh.Refusal) {
+	if refusal != nil && (refusal.Outcome == header.NotRun || refusal.Code != header.DeadlineExceeded) {
+		return
+	}
+	now := time.Now()
+	rh.estimator.Observe(now, call.Route.Name, now.Sub(started))
+}
+
 // requestContext returns the context of a request with a deadline. It ends early when the shutdown
 // ends; the request then still gets an answer that says whether it may have run.
 func (rh *requestHandler) requestContext(connected context.Context, deadline time.Time) (ctx context.Context, cancel context.CancelFunc) {
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -214,6 +214,10 @@
 	// Deadline is on this host's clock. Between hosts, calls carry the remaining time.
 	Deadline time.Time
 
+	// AnswerBy is the time by which the node of the caller needs the answer because it shuts down;
+	// zero while it does not.
+	AnswerBy time.Time
+
 	// Queued is how long the request waited on its connection before it was handled, behind
 	// other requests or for processor time.
 	Queued time.Duration
@@ -240,5 +244,13 @@
 	return c.Organisation
 }
 
-// Remaining returns the time until the deadline.
-func (c *Call) Remaining(now time.Time) (left time.Duration) { return c.Deadline.Sub(now) }
+// End returns the time by which the answer must come: the deadline or AnswerBy, whichever is earlier.
+func (c *Call) End() (end time.Time) {
+	if !c.AnswerBy.IsZero() && c.AnswerBy.Before(c.Deadline) {
+		return c.AnswerBy
+	}
+	return c.Deadline
+}
+
+// Remaining returns the time until the end of the call.
+func (c *Call) Remaining(now time.Time) (left time.Duration) { return c.End().Sub(now) }
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -448,7 +448,7 @@
 // latestStart returns the latest time at which the call can start and still meet
 // its deadline.
 func (g *Gate) latestStart(call *mesh.Call) (at time.Time) {
-	return call.Deadline.Add(-g.estimates.undecayed(call.Route.Name))
+	return call.End().Add(-g.estimates.undecayed(call.Route.Name))
 }
 
 // maxQueueTime returns the maximum queueing time of a call. After half of its
--- a/internal/mesh/policy.go
+++ b/internal/mesh/policy.go
@@ -47,6 +47,16 @@
 	ObserveSample(now time.Time, s Sample)
 }
 
+// Estimator estimates how long requests take. It is safe for concurrent use.
+type Estimator interface {
+	// Observe records how long a request of a route took until its answer.
+	Observe(now time.Time, route string, took time.Duration)
+
+	// Estimate returns the time within which nearly all recent requests of a route were answered.
+	// Until there are enough of them it is not reliable: the longest time, or zero without any.
+	Estimate(now time.Time, route string) (duration time.Duration, reliable bool)
+}
+
 // RoomObserver is a picker that uses the rooms of targets.
 type RoomObserver interface {
 	Picker
--- a/internal/mesh/shape_test.go
+++ b/internal/mesh/shape_test.go
@@ -17,7 +17,7 @@
 var decisionPackages = []string{
 	"internal/mesh", "internal/mesh/audit", "internal/mesh/calls", "internal/mesh/canary", "internal/mesh/claim", "internal/mesh/config", "internal/mesh/fleet", "internal/mesh/gate",
 	"internal/mesh/quota", "internal/mesh/retry", "internal/mesh/roster", "internal/mesh/route", "internal/mesh/rules", "internal/mesh/share",
-	"internal/mesh/tree",
+	"internal/mesh/timing", "internal/mesh/tree",
 }
 
 // encodingPackages are packages that decision logic must not import, directly or through
