agent: start no queued request that is expected to outlast the shutdown

A request that another node had sent before SIGTERM, and that waited at the gate, started late in the shutdown and was broken off at its end. Its caller got 502 although another target of the service was free.

Cause: whether a request can end in time was checked on arrival alone, and only for requests of the node's own callers. Requests of other nodes, and those that leave the queue, were not checked.

Change: the check of nested calls (deadline behind the last answer, usual duration longer than the time left) is made for requests of other nodes when they arrive, and for all after their wait at the gate, before a byte is sent. The refusal says not-run, so the sending node tries another target. The node of a target observes the durations of what other nodes send.

--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -31,6 +31,9 @@
 	if rh.follow.View() == nil {
 		return writePeerRefusal(c, call, notReady())
 	}
+	if refusal := rh.refuseUnfinished(call); refusal != nil {
+		return writePeerRefusal(c, call, refusal)
+	}
 	ctx, cancel := rh.requestContext(r.Context(), call.Deadline)
 	defer cancel()
 	if refusal := accept.TakeHead(r); refusal != nil {
@@ -43,9 +46,10 @@
 	if version := r.Header.Get(versionHeader); version != "" {
 		call.Choice = mesh.VersionChoice{To: mesh.VersionName(version), New: true}
 	}
-	p := newPayload(r, body)
+	p, started := newPayload(r, body), time.Now()
 	answer, refusal := rh.runLocally(ctx, call, target, p)
 	p.releaseBody()
+	rh.observe(call, started, refusal)
 	if refusal != nil {
 		if refusal.Code == header.CallerLeft {
 			rh.logStopped(r.RemoteAddr, call, refusal)
@@ -77,6 +81,11 @@
 	if in.refusal != nil {
 		return nil, in.refusal
 	}
+	// The call may have waited at the gate into the shutdown.
+	if refusal := rh.refuseUnfinished(call); refusal != nil {
+		rh.gate.Leave(gate.Finished{Ticket: in.ticket, NotRun: true})
+		return nil, refusal
+	}
 	started := time.Now()
 	rh.deliveries.begin(call)
 	answer, refusal = rh.sendToTarget(ctx, in, call, p)
