node: test of a nested call late in the shutdown

The cause of the calls that agent broke off does not exist in the product's own front end: it takes nested calls until none is in flight, and its shutdown has no deadline.

--- a/internal/mesh/node/roster_test.go
+++ b/internal/mesh/node/roster_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"expvar"
+	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -11,6 +13,7 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
+	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
 
 const (
@@ -216,3 +219,72 @@
 		t.Errorf("rows after the delete: got %q, want none", got)
 	}
 }
+
+// TestLateNestedCall guards against a nested call that a target makes late in the shutdown of its
+// node, and that is refused or broken off while another target runs it.
+func TestLateNestedCall(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t)
+	staying, leaving := newHost(t, p, 14), newHost(t, p, 15)
+	staying.startInProcess(t, p)
+	leaving.startInProcess(t, p)
+	staying.waitHosts(t, "alive", 2)
+	stopped, nested := make(chan time.Time, 1), make(chan http.Header, 1)
+	parent := newScriptedTarget(t, func(n int, conn net.Conn, r *http.Request) (open bool) {
+		time.Sleep(time.Until((<-stopped).Add(testLeaveTime + 200*time.Millisecond)))
+		request, _ := http.NewRequest(http.MethodPost, "http://"+leaving.LocalListen.String()+"/ledger/pay", nil)
+		request.Header.Set(header.Call, r.Header.Get(header.Call))
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Errorf("nested call: got error %v, want an answer", err)
+			close(nested)
+			return false
+		}
+		response.Body.Close()
+		nested <- response.Header
+		return answerID(n, conn, r)
+	})
+	report := fmt.Sprintf(`{"service":"ledger","addr":%q,"slots":64,"connections":640,"incarnation":%d}`, parent.addr(), time.Now().UnixNano())
+	waitFor(t, "the target is announced", func() bool {
+		request, _ := http.NewRequest(http.MethodPut, "http://"+leaving.LocalListen.String()+"/quetzal/target", strings.NewReader(report))
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusNoContent
+	})
+	answer := make(chan string, 1)
+	go func() {
+		for range 100 {
+			response, err := http.Post("http://"+leaving.CallerListen.String()+"/ledger/pay", "text/plain", nil)
+			if err != nil {
+				break
+			}
+			response.Body.Close()
+			if got := response.Header.Get(header.Outcome); got == string(header.Ran) {
+				answer <- got
+				return
+			}
+			time.Sleep(retryPause)
+		}
+		answer <- "none"
+	}()
+	waitFor(t, "the parent request runs", func() bool {
+		parent.mu.Lock()
+		defer parent.mu.Unlock()
+		return parent.total > 0
+	})
+	staying.startTarget(t, slowTargetLatency)
+	leaving.stop()
+	stopped <- time.Now()
+	if got := (<-nested).Get(header.Outcome); got != string(header.Ran) {
+		t.Errorf("nested call: got outcome %q, want %q", got, header.Ran)
+	}
+	if got := <-answer; got != string(header.Ran) {
+		t.Errorf("parent request: got outcome %q, want %q", got, header.Ran)
+	}
+	if err := <-leaving.done; err != nil {
+		t.Errorf("run of the leaving node: got %v, want no error", err)
+	}
+}
