agent: check from SIGTERM on whether calls outlast the shutdown

With 10 s between SIGTERM and the kill, as on the largest deployment, a call that came 3.5 s after SIGTERM was taken and broken off at 9.40 s, also when all earlier calls of its route had taken as long.

Cause: whether a call can end in time was checked only after 0.4 of the shutdown's time, when callers have had time to notice the shutdown.

Change: the usual duration decides from SIGTERM on. The stricter rule for callers, a deadline before the end, still holds only after 0.4 of the time: before that, callers have no reason to send elsewhere.

--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -51,10 +51,12 @@
 	// leaving is true once the shutdown has started; it is never cleared.
 	leaving atomic.Bool
 
-	// lastAnswer is the time by which the shutdown ends all requests; nil until callers have had
-	// time to notice the shutdown.
+	// lastAnswer is the time by which the shutdown ends all requests; nil until it has started.
 	lastAnswer atomic.Pointer[time.Time]
 
+	// noticed is true once callers have had time to notice the shutdown; it is never cleared.
+	noticed atomic.Bool
+
 	// ending is done from lastAnswer on, with mesh.ErrShutdown as its cause.
 	ending context.Context
 	end    context.CancelCauseFunc
--- a/internal/mesh/agent/shutdown.go
+++ b/internal/mesh/agent/shutdown.go
@@ -14,8 +14,8 @@
 
 const (
 	// notReadyFraction is the fraction of the shutdown timeout during which the node reports
-	// that it is not ready but still takes all requests. Callers poll readiness once per second
-	// and stop sending after two failed polls.
+	// that it is not ready but still takes all requests that are not expected to outlast it. Callers
+	// poll readiness once per second and stop sending after two failed polls.
 	notReadyFraction = 0.4
 
 	// exitTime is the time that the process has to exit after its last answer, and maxExitFraction
@@ -42,17 +42,19 @@
 }
 
 // shutdown shuts the node down gracefully. It notifies the other nodes at once to send no more
-// requests and serves callers until they have noticed that the node is not ready. From then on it
-// takes only requests that end before it does, and waits for those in flight.
+// requests and serves callers until they have noticed that the node is not ready, unless a request
+// is expected to outlast it. From then on it takes only requests that end before it does, and waits
+// for those in flight.
 func (a *Agent) shutdown(ctx context.Context) {
 	start, limit := time.Now(), a.settings.ShutdownTimeout
 	a.log.Infof("leaving; waiting for in-flight requests to finish.")
 	a.handler.leaving.Store(true)
-	_ = a.handler.member.events.Send(ctx, leaving{})
-	sleep(ctx, time.Duration(notReadyFraction*float64(limit)))
 	end := start.Add(limit - min(exitTime, time.Duration(maxExitFraction*float64(limit))))
 	last := end.Add(-finalAnswerTime)
 	a.handler.endBy(last)
+	_ = a.handler.member.events.Send(ctx, leaving{})
+	sleep(ctx, time.Duration(notReadyFraction*float64(limit)))
+	a.handler.noticed.Store(true)
 	// net/http polls for the end of requests at intervals that grow to 500 ms; a second call polls
 	// often while the final answers are written.
 	if a.closeServers(ctx, last) != nil {
@@ -78,21 +80,22 @@
 	return err
 }
 
-// endBy lets the node take no more requests whose deadline is later than last, and interrupts those
-// that are still in flight then.
+// endBy lets the node take no more requests that are expected to be in flight at the time last, and
+// interrupts those that still are then.
 func (rh *requestHandler) endBy(last time.Time) {
 	rh.lastAnswer.Store(&last)
 	time.AfterFunc(time.Until(last), func() { rh.end(mesh.ErrShutdown) })
 }
 
-// refuseLate refuses a call that could still be in flight when the shutdown ends. A nested call of a
-// request that the target on this host is running has no other way, so its usual duration decides.
+// refuseLate refuses a call that could still be in flight when the shutdown ends. The usual duration
+// decides on those of callers that have not had time to notice the shutdown, and on nested calls of a
+// request that the target on this host is running, which have no other way.
 func (rh *requestHandler) refuseLate(call *mesh.Call) (refusal *mesh.Refusal) {
 	last, late := rh.outlasts(call)
 	switch {
 	case !late:
 		return nil
-	case call.Nested && !call.ParentUnknown:
+	case call.Nested && !call.ParentUnknown, !rh.noticed.Load():
 		return rh.refuseUnfinished(call)
 	default:
 		return leavingRefusal(last, "the node is shutting down and will end before the deadline of the request")
--- a/internal/mesh/agent/shutdown_test.go
+++ b/internal/mesh/agent/shutdown_test.go
@@ -53,6 +53,8 @@
 				check("before the shutdown", rh.refuseLate(call), false)
 				last := time.Now().Add(left)
 				rh.lastAnswer.Store(&last)
+				check("request of a caller that has not noticed", rh.refuseLate(call), c.wantAttempt)
+				rh.noticed.Store(true)
 				check("request of a caller", rh.refuseLate(call), c.wantCaller)
 				check("another attempt", rh.refuseUnfinished(call), c.wantAttempt)
 				call.Nested = true
