agent: leave targets time for their own answers at the end of a shutdown

Cause: a call was taken when its usual duration just fitted, and its target was told to stop only 10 ms a hop before the node gave the final answers. On a busy host the target's own answer came after them.

Change: targets stop 50 ms before the final answers, and calls must be expected to end by then. To keep the time for work, the final answers come 0.15 s before the end of the grace time in place of 0.2 s; the process has 75 ms to exit after them and ended 5 to 25 ms after its last answer beside ten busy processes (measured before this change).

--- a/internal/mesh/agent/shutdown.go
+++ b/internal/mesh/agent/shutdown.go
@@ -20,12 +20,16 @@
 
 	// exitTime is the time that the process has to exit after its last answer, and maxExitFraction
 	// the most that it takes of a short shutdown timeout.
-	exitTime        = 100 * time.Millisecond
+	exitTime        = 75 * time.Millisecond
 	maxExitFraction = 0.05
 
 	// finalAnswerTime is the time before that in which the requests that are still in flight get
 	// their final answers.
-	finalAnswerTime = 100 * time.Millisecond
+	finalAnswerTime = 75 * time.Millisecond
+
+	// targetAnswerTime is the time before the final answers in which the answers of targets still
+	// arrive that stop at their time limit. No attempt is made that is expected to end later.
+	targetAnswerTime = 50 * time.Millisecond
 )
 
 // addShutdown adds the graceful shutdown, which starts when ctx is done.
@@ -115,11 +119,11 @@
 	if !reliable && !call.Route.Idempotent {
 		expected = max(expected, call.Route.LatencyObjective)
 	}
-	left := last.Sub(now)
+	left := last.Add(-targetAnswerTime).Sub(now)
 	if left > 0 && expected <= left {
 		return nil
 	}
-	return leavingRefusal(last, "the node ends in %v and a request of the route takes up to %v", max(0, left), expected)
+	return leavingRefusal(last, "the node waits %v longer for targets and a request of the route takes up to %v", max(0, left), expected)
 }
 
 // outlasts reports whether the deadline of a call lies behind the last answer of the shutdown.
@@ -137,11 +141,11 @@
 	return refusal
 }
 
-// boundAttempt makes a target stop at the last answer of the shutdown, since nobody waits for a
+// boundAttempt makes a target stop before the last answer of the shutdown, since nobody waits for a
 // later one.
 func (rh *requestHandler) boundAttempt(call *mesh.Call) {
 	if last, late := rh.outlasts(call); late {
-		call.AnswerBy = last
+		call.AnswerBy = last.Add(-targetAnswerTime)
 	}
 }
 
--- a/internal/mesh/agent/shutdown_test.go
+++ b/internal/mesh/agent/shutdown_test.go
@@ -51,7 +51,7 @@
 				}
 				call := &mesh.Call{Route: route, Deadline: time.Now().Add(c.deadline)}
 				check("before the shutdown", rh.refuseLate(call), false)
-				last := time.Now().Add(left)
+				last := time.Now().Add(left + targetAnswerTime)
 				rh.lastAnswer.Store(&last)
 				check("request of a caller that has not noticed", rh.refuseLate(call), c.wantAttempt)
 				rh.noticed.Store(true)
