--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -26,7 +26,7 @@
 
 // requestHandler handles the requests of callers, of the local target and of other nodes by
 // means of the duties. Its own mutable state is the requests running at the local target, the
-// progress of the shutdown.
+// durations of requests and the progress of the shutdown.
 type requestHandler struct {
 	settings Settings
 	dialect  mesh.Dialect
