platform: TestLateStart holds the long request until the shutdown

Both requests were answered and none ran at the other target, once beside load.

Cause: the long request ended 2.3 s after it was sent, while the shutdown began once the set-up was done. Where that took longer than 2.3 s, the waiting request had started rightly before the shutdown, and the test showed nothing.

Change: the target holds the long request until 1.3 s after the beginning of the shutdown, and the shutdown begins only once the other request waits at the gate, which the new metric target-queued shows. The checks are the same.

--- a/internal/mesh/agent/gate.go
+++ b/internal/mesh/agent/gate.go
@@ -76,6 +76,7 @@
 		rollouts: new(rolloutDuty),
 	}
 	vars.Set("target-running", expvar.Func(func() any { return d.running.Load() }))
+	vars.Set("target-queued", expvar.Func(func() any { return d.queued.Load() }))
 	return d
 }
 
