agent: hosts tell the deciding one that they have found a version bad

Cause: a host that finds the new version bad stops sending to it and told nobody. The deciding host compares the same answers in slices of time that begin at other moments, may just not find it, and then sees no further answer.

Change: with each report, such a host tells the two first hosts of the ranking, in a datagram of its own. The deciding host rolls back when hosts that send at least half of the requests have said so; where fewer have, the roll-out is rolled back rather than completed when the wait for the old targets ends.

Measured: TestDeciderUnaware and TestDeciderInDoubt fail on the old code (running; the bad version complete 10 s after the limit) and pass.

--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -458,6 +458,12 @@
 			return err
 		}
 		d.rollouts.events.Offer(rolloutReported{report: r})
+	case beat.IsFault(data):
+		f, err := beat.DecodeFault(data)
+		if err != nil {
+			return err
+		}
+		d.rollouts.events.Offer(faultReported{fault: f})
 	case beat.IsRoom(data):
 		r, err := beat.DecodeRoom(now, data)
 		if err != nil {
--- a/internal/mesh/agent/rollout.go
+++ b/internal/mesh/agent/rollout.go
@@ -86,6 +86,7 @@
 	barred   map[mesh.ServiceName][]mesh.VersionName
 	versions map[targetKey]mesh.VersionName
 	hosts    map[netip.AddrPort]rolloutHost
+	faults   map[faultKey]*beat.Fault
 	ledger   *canary.Ledger
 	tallies  map[tallyKey]*mesh.VersionTally
 
@@ -150,7 +151,7 @@
 		events: ring.New(vars, "rollout", rolloutRing), self: self, started: time.Now(), log: log, repliedAt: make(map[netip.AddrPort]time.Time),
 		bounds:   canary.Bounds{Share: st.ExposureShare, Slack: st.ExposureSlack, Rollback: st.RollbackTime},
 		rollouts: make(map[mesh.ServiceName]*rollout), barred: make(map[mesh.ServiceName][]mesh.VersionName),
-		versions: make(map[targetKey]mesh.VersionName), hosts: make(map[netip.AddrPort]rolloutHost),
+		versions: make(map[targetKey]mesh.VersionName), hosts: make(map[netip.AddrPort]rolloutHost), faults: make(map[faultKey]*beat.Fault),
 		ledger: canary.NewLedger(), tallies: make(map[tallyKey]*mesh.VersionTally), reports: new(expvar.Int),
 	}
 	vars.Set("rollout-reports-sent", d.reports)
@@ -279,6 +280,8 @@
 		d.applyConfig(now, e.activeConfig)
 	case rolloutReported:
 		d.receive(now, e.report)
+	case faultReported:
+		d.receiveFault(e.fault)
 	case advanced:
 		d.finishAdvance(now, e)
 	case rolloutsRead:
--- a/internal/mesh/agent/rollout_test.go
+++ b/internal/mesh/agent/rollout_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/beat"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/canary"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/fleet"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/rules"
@@ -95,6 +96,9 @@
 	// failing is the part of the answers of the new version that are failures.
 	failing float64
 
+	// unaware is a host that sends no requests and hears of no failures; nil for none.
+	unaware *rolloutTestHost
+
 	toNew, all int
 	lastToNew  time.Time
 }
@@ -159,6 +163,9 @@
 }
 
 func (f *rolloutFleet) transmit(from *rolloutTestHost, data []byte, to netip.AddrPort) (err error) {
+	if beat.IsFault(data) {
+		return f.transmitFault(from, data, to)
+	}
 	report, err := beat.DecodeRollout(data)
 	if err != nil {
 		f.t.Errorf("got an invalid report: %v", err)
@@ -166,12 +173,35 @@
 	}
 	for _, h := range f.hosts {
 		if h.host.Addr == to && f.reaches(from, h) {
+			if h == f.unaware {
+				hideFailures(report)
+			}
 			h.events.Offer(rolloutReported{report: report})
 		}
 	}
 	return nil
 }
 
+func hideFailures(r *beat.RolloutReport) {
+	for i := range r.Tallies {
+		r.Tallies[i].Failures = 0
+	}
+}
+
+func (f *rolloutFleet) transmitFault(from *rolloutTestHost, data []byte, to netip.AddrPort) (err error) {
+	fault, err := beat.DecodeFault(data)
+	if err != nil {
+		f.t.Errorf("got an invalid fault: %v", err)
+		return err
+	}
+	for _, h := range f.hosts {
+		if h.host.Addr == to && f.reaches(from, h) {
+			h.events.Offer(faultReported{fault: fault})
+		}
+	}
+	return nil
+}
+
 // view returns the fleet as a host hears it. Versions are not part of heartbeats.
 func (f *rolloutFleet) view(of *rolloutTestHost) (v *fleet.View) {
 	v = &fleet.View{Self: of.host, Peers: make(map[netip.AddrPort]mesh.Host), Targets: make(map[mesh.ServiceName][]mesh.Endpoint), ZoneSizes: make(map[mesh.ZoneName]int)}
@@ -216,7 +246,7 @@
 // serve plays 500 requests a second, from all hosts in turn, for d.
 func (f *rolloutFleet) serve(d time.Duration) {
 	for i := range int(d / (2 * time.Millisecond)) {
-		if h := f.hosts[i%len(f.hosts)]; !h.dead.Load() {
+		if h := f.hosts[i%len(f.hosts)]; !h.dead.Load() && h != f.unaware {
 			f.request(h, i)
 		}
 		time.Sleep(2 * time.Millisecond)
@@ -408,6 +438,65 @@
 	})
 }
 
+// TestDeciderUnaware guards against a bad version that is kept because the host that decides has not
+// found it bad, while the hosts that have send it no more requests by which it could.
+func TestDeciderUnaware(t *testing.T) {
+	playRollout(t, func(f *rolloutFleet) {
+		f.failing, f.unaware = 0.3, f.decider()
+		f.order(5, testOrder)
+		f.serve(8 * time.Second)
+		f.check(mesh.RolloutRolledBack)
+		if fault := f.unaware.rollouts["s"].Fault(); fault != "" {
+			t.Errorf("got the fault %q at the deciding host, want none for the test to show anything", fault)
+		}
+	})
+}
+
+// TestFaultsOfOthers guards against findings that count for another order, after a restart of their
+// host or while it is silent.
+func TestFaultsOfOthers(t *testing.T) {
+	playRollout(t, func(f *rolloutFleet) {
+		f.order(5, testOrder)
+		synctest.Wait()
+		f.hosts[0].cancel()
+		synctest.Wait()
+		d, from := f.hosts[0].rolloutDuty, f.hosts[1].host.Addr
+		tallies := []mesh.VersionTally{{Service: "s", Version: "v1", Route: "r", Sent: 10, Answers: 10}}
+		check := func(when string, want float64) {
+			t.Helper()
+			var fleet canary.Fleet
+			d.addFaults(&fleet, "s", d.rollouts["s"])
+			if fleet.Faulted != want || (fleet.FaultReason != "") != (want > 0) {
+				t.Errorf("%s: got share %v and reason %q, want share %v", when, fleet.Faulted, fleet.FaultReason, want)
+			}
+		}
+		report := func(incarnation mesh.Incarnation) {
+			d.receive(time.Now(), &beat.RolloutReport{From: from, Incarnation: incarnation, Tallies: tallies})
+		}
+		fault := func(incarnation mesh.Incarnation, revision uint64) {
+			d.receiveFault(&beat.Fault{From: from, Incarnation: incarnation, Service: "s", Revision: revision, Reason: "failures"})
+		}
+		report(1)
+		check("no fault", 0)
+		fault(1, testOrder.Revision-1)
+		check("an earlier order", 0)
+		fault(1, testOrder.Revision)
+		check("this order", 1)
+		report(2)
+		check("restarted", 0)
+		fault(2, testOrder.Revision)
+		fault(1, testOrder.Revision)
+		check("found again", 1)
+		f.hosts[1].kill()
+		f.connect()
+		check("silent", 0)
+		d.prune()
+		if len(d.faults) != 0 {
+			t.Errorf("got %d faults of silent hosts, want none", len(d.faults))
+		}
+	})
+}
+
 // TestStoreDownWhileBad guards against requests to a bad version for as long as the store is down.
 func TestStoreDownWhileBad(t *testing.T) {
 	playRollout(t, func(f *rolloutFleet) {
--- a/internal/mesh/agent/rolloutdecide.go
+++ b/internal/mesh/agent/rolloutdecide.go
@@ -62,6 +62,7 @@
 		reported := d.hosts[addr]
 		f.Targets = append(f.Targets, d.targets(now, host, &reported, r.Order())...)
 	}
+	d.addFaults(&f, service, r)
 	f.Unheard = view.Unheard()
 	f.ServiceKnown = len(f.Targets) > 0 || d.config != nil && d.config.index != nil && d.config.index.Knows(service)
 	return f
--- a/internal/mesh/agent/rolloutreport.go
+++ b/internal/mesh/agent/rolloutreport.go
@@ -37,6 +37,7 @@
 		changed = d.adopt(now, r) || changed
 	}
 	d.hosts[report.From] = h
+	d.forgetFaults(report.From, report.Incarnation)
 	d.ledger.Apply(report.From, report.Incarnation, report.Tallies)
 	if changed {
 		d.publish(now)
@@ -69,6 +70,7 @@
 	peers := d.member.View().Peers
 	silent := func(addr netip.AddrPort) bool { _, found := peers[addr]; return !found }
 	maps.DeleteFunc(d.hosts, func(addr netip.AddrPort, _ rolloutHost) bool { return silent(addr) })
+	maps.DeleteFunc(d.faults, func(k faultKey, _ *beat.Fault) bool { return silent(k.host) })
 	maps.DeleteFunc(d.repliedAt, func(addr netip.AddrPort, _ time.Time) bool { return silent(addr) })
 	maps.DeleteFunc(d.versions, func(k targetKey, _ mesh.VersionName) bool {
 		return !silent(k.host) && !slices.ContainsFunc(peers[k.host].Targets, func(t mesh.Target) bool { return t.Name == k.name })
@@ -133,6 +135,7 @@
 		d.lastSent, d.lastUrgent, d.sentVersion = now, now, version
 		d.prune()
 		d.send(now, peers)
+		d.sendFaults()
 		return
 	}
 	var urgent []netip.AddrPort
@@ -144,6 +147,7 @@
 	}
 	if due {
 		d.lastUrgent = now
+		d.sendFaults()
 	}
 	slices.SortFunc(urgent, netip.AddrPort.Compare)
 	d.send(now, slices.DeleteFunc(slices.Compact(urgent), func(a netip.AddrPort) bool { return a == d.self.Addr }))
@@ -161,15 +165,20 @@
 		return
 	}
 	for _, addr := range to {
-		err := d.transmit(data, addr)
-		if err != nil && !d.sendFailing {
-			d.log.Warnf("sending a report on roll-outs to %v failed: %v.", addr, err)
-		}
-		d.sendFailing = err != nil
-		d.reports.Add(1)
+		d.transmitTo(data, addr)
 	}
 }
 
+// transmitTo sends a datagram and logs the first of several failures.
+func (d *rolloutDuty) transmitTo(data []byte, addr netip.AddrPort) {
+	err := d.transmit(data, addr)
+	if err != nil && !d.sendFailing {
+		d.log.Warnf("sending a report on roll-outs to %v failed: %v.", addr, err)
+	}
+	d.sendFailing = err != nil
+	d.reports.Add(1)
+}
+
 // report returns what this host knows and sees. The counts of roll-outs that have ended are left
 // out, and of their records only the latest are sent. Records of running ones carry the time from
 // the order until now, so that a host that has just started knows it.
--- a/internal/mesh/beat/beat.go
+++ b/internal/mesh/beat/beat.go
@@ -53,8 +53,8 @@
 }
 
 // The first byte of a datagram says what it holds: a heartbeat, one that the receiver relays, an
-// ask, a verdict, a report on roll-outs or one on the room at targets. Hosts of an earlier build
-// ignore the datagrams that they do not know.
+// ask, a verdict, a report on roll-outs, one on the room at targets or a fault of a new version.
+// Hosts of an earlier build ignore the datagrams that they do not know.
 const (
 	flagFinal = iota
 	flagRelay
@@ -62,6 +62,7 @@
 	flagVerdict
 	flagRollout
 	flagRoom
+	flagFault
 )
 
 // Relayed returns the datagram in which a receiver relays a heartbeat. It is not relayed again.
--- a/internal/mesh/canary/canary.go
+++ b/internal/mesh/canary/canary.go
@@ -67,6 +67,11 @@
 	// awaited.
 	targetWait = 0.5
 
+	// faultedShare is the share of the requests whose hosts have found the new version bad from
+	// which on it is rolled back although the deciding host has not. The rest of the requests may
+	// not be enough for it to find out; a smaller share may have been misled by what it alone sees.
+	faultedShare = 0.5
+
 	// spareSlots is the factor by which the slots of the new version have to exceed the requests
 	// that the old one runs.
 	spareSlots = 1.2
@@ -108,6 +113,12 @@
 
 	Targets []Target
 
+	// Faulted is the share of the requests, from 0 to 1, that come from hosts which have found the
+	// new version bad and send it no more of them. FaultReason is what one of them has found;
+	// empty when there is none.
+	Faulted     float64
+	FaultReason string
+
 	// Unheard says which part of the fleet is not heard; empty when all zones and most hosts are.
 	// That part, or this host, is probably cut off, and its targets run requests that nobody
 	// here knows of. Then only a step back may be decided.
@@ -301,6 +312,8 @@
 		return mesh.RolloutWithdrawn, 0, "the operator has taken the order back"
 	case c.fault != "":
 		return mesh.RolloutRolledBack, 0, c.fault
+	case f.FaultReason != "" && f.Faulted >= faultedShare:
+		return mesh.RolloutRolledBack, 0, f.FaultReason
 	case !f.ServiceKnown && f.Unheard == "" && elapsed >= c.settleTime():
 		return mesh.RolloutRejected, 0, fmt.Sprintf("service %q is not known", c.order.Service)
 	case !exposed && targets > 0 && others == 0 && f.Unheard == "":
@@ -413,6 +426,8 @@
 		return mesh.RolloutRunning, 1, ""
 	case f.idle(c.order.To, c.record.Step):
 		return mesh.RolloutComplete, 1, fmt.Sprintf("%d other targets are idle after %v; %d of %d requests went to the new version", others, held.Round(time.Millisecond), c.toNew, c.all)
+	case late >= drainLimit && f.FaultReason != "":
+		return mesh.RolloutRolledBack, 0, f.FaultReason
 	case late >= drainLimit:
 		return mesh.RolloutComplete, 1, fmt.Sprintf("%d requests at %d other targets have not ended %v after the time limit", running, others, late.Round(time.Millisecond))
 	default:
--- a/internal/mesh/canary/play_test.go
+++ b/internal/mesh/canary/play_test.go
@@ -78,9 +78,7 @@
 // run plays the roll-out to its end and returns the last record.
 func (p *play) run(t *testing.T, seed uint64) (last mesh.Rollout) {
 	t.Helper()
-	p.random = rand.New(rand.NewPCG(seed, 1))
-	p.start = time.Unix(1000, 0)
-	p.ledger, p.tallies = NewLedger(), make(map[tallyKey]*mesh.VersionTally)
+	p.begin(seed)
 	c := New(p.start, mesh.RolloutOrder{Service: "s", To: newVersion, Limit: p.limit, Revision: 1}, playBounds)
 	for at := time.Duration(0); at < p.limit+2*time.Second; at += playTick {
 		now := p.start.Add(at)
@@ -103,6 +101,13 @@
 	return last
 }
 
+// begin sets the state of a play that has not begun.
+func (p *play) begin(seed uint64) {
+	p.random = rand.New(rand.NewPCG(seed, 1))
+	p.start = time.Unix(1000, 0)
+	p.ledger, p.tallies = NewLedger(), make(map[tallyKey]*mesh.VersionTally)
+}
+
 // requests plays the requests of one tick.
 func (p *play) requests(at time.Duration, share float64) {
 	n := p.rate(at) * playTick.Seconds()
@@ -291,6 +296,95 @@
 	}
 }
 
+// TestDeciderInDoubt guards against a bad version that is kept because the hosts that send requests
+// have found it bad and send it no more, and the deciding host, whose slices of time begin at other
+// moments, has then seen too little to find it.
+func TestDeciderInDoubt(t *testing.T) {
+	const plays, later = 200, 300 * time.Millisecond
+	order := mesh.RolloutOrder{Service: "s", To: newVersion, Limit: 20 * time.Second, Revision: 1}
+	canaryRecord := mesh.Rollout{Order: order, Step: 1, Share: 0.025}
+	doubted := 0
+	for seed := range uint64(plays) {
+		p := &play{limit: order.Limit, rate: steady(170), slow: never}
+		p.failing = func(m moment) float64 {
+			if m.isNew {
+				return 0.3
+			}
+			return 0.02
+		}
+		p.begin(seed)
+		sender, decider := New(p.start, order, playBounds), New(p.start, order, playBounds)
+		sender.Adopt(p.start, canaryRecord)
+		decider.Adopt(p.start, canaryRecord)
+		for at := time.Duration(0); at < p.limit && !decider.Ended(); at += playTick {
+			now := p.start.Add(at)
+			p.requests(at, sender.Share(now))
+			p.report(now, sender.Share(now))
+			sender.Observe(now, p.ledger.Totals("s", newVersion))
+			if at >= later {
+				decider.Observe(now, p.ledger.Totals("s", newVersion))
+			}
+			fleet := Fleet{
+				ServiceKnown: true, Targets: []Target{{Version: newVersion, Slots: 400, Step: 1}, {Version: oldVersion, Slots: 400, Running: 9, Step: 1}},
+				FaultReason: sender.Fault(),
+			}
+			if sender.Fault() != "" {
+				fleet.Faulted = 1
+			}
+			if next, changed := decider.Next(now, fleet); changed && next.State == mesh.RolloutRolledBack {
+				decider.Adopt(now, next)
+			}
+		}
+		if !decider.Ended() || decider.Record().State != mesh.RolloutRolledBack {
+			t.Errorf("seed %d: got the record %+v, want it rolled back; the sender has found %q", seed, decider.Record(), sender.Fault())
+		}
+		if decider.Fault() == "" {
+			doubted++
+		}
+	}
+	if doubted == 0 {
+		t.Errorf("got no play in which only the sender found the version bad, want some in %d", plays)
+	}
+}
+
+// TestFaultedHosts guards against a good version that is rolled back since a few hosts have found it
+// bad, and against one that is complete although a host still sends it no requests.
+func TestFaultedHosts(t *testing.T) {
+	start := time.Unix(1000, 0)
+	order := mesh.RolloutOrder{Service: "s", To: newVersion, Limit: time.Minute, Revision: 1}
+	late := order.Limit + drainLimit
+	cases := []struct {
+		name    string
+		share   float64
+		elapsed time.Duration
+		faulted float64
+		want    mesh.RolloutState
+	}{
+		{"a few at first", 0.02, 10 * time.Second, 0.4, mesh.RolloutRunning},
+		{"half at first", 0.02, 10 * time.Second, 0.5, mesh.RolloutRolledBack},
+		{"a few with all requests", 1, 58 * time.Second, 0.4, mesh.RolloutRunning},
+		{"half with all requests", 1, 58 * time.Second, 0.5, mesh.RolloutRolledBack},
+		{"a few at the end", 1, late, 0.1, mesh.RolloutRolledBack},
+		{"none at the end", 1, late, 0, mesh.RolloutComplete},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fleet := Fleet{
+				ServiceKnown: true, Faulted: c.faulted,
+				Targets: []Target{{Version: newVersion, Slots: 400, Step: 2}, {Version: oldVersion, Slots: 400, Running: 1, Step: 2}},
+			}
+			if c.faulted > 0 {
+				fleet.FaultReason = "6 of 20 answers were failures"
+			}
+			ctl := New(start, order, playBounds)
+			ctl.Adopt(start.Add(c.elapsed-time.Second), mesh.Rollout{Order: order, Step: 2, Share: c.share, Elapsed: c.elapsed - time.Second})
+			if got, _, _ := ctl.decide(start.Add(c.elapsed), fleet); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // TestFinalRecord guards against a host that leaves the final state of an order.
 func TestFinalRecord(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/mesh/canary/tally.go
+++ b/internal/mesh/canary/tally.go
@@ -160,3 +160,17 @@
 	}
 	return t
 }
+
+// SentBy returns the number of requests that a host has sent to a service since it started.
+func (l *Ledger) SentBy(from netip.AddrPort, service mesh.ServiceName) (sent uint64) {
+	h := l.hosts[from]
+	if h == nil {
+		return 0
+	}
+	for key, t := range h.last {
+		if key.service == service {
+			sent += t.Sent
+		}
+	}
+	return sent
+}
