--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -127,7 +127,7 @@
 	a.handler = &requestHandler{
 		settings: s, dialect: a.platform.Dialect,
 		follow: follow, member: member, quota: quotas, picker: picker, gate: gates, rollouts: rollouts, meter: measures,
-		links: link.NewPools(link.WithAccount(a.account)), target: target, deliveries: newDeliveries(), estimator: timing.NewQuantiles(), log: logs.WithPrefix(l, "front"),
+		links: link.NewPools(link.WithAccount(a.account)), target: target, account: a.account, deliveries: newDeliveries(), estimator: timing.NewQuantiles(), log: logs.WithPrefix(l, "front"),
 		ending: ending, end: end,
 	}
 	watch := newWatchDuty(vars, a.platform.Source, follow, member, logs.WithPrefix(l, "watch"))
--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -39,6 +39,7 @@
 	meter    *meter.Duty
 	links    *link.Pools
 	target   *link.Pool
+	account  *memory.Account
 
 	// deliveries are the requests that the target on this host is running.
 	deliveries *deliveries
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -120,6 +120,15 @@
 	return p
 }
 
+// keepBody charges a body for as long as its rest is delivered. The request that holds it ends before.
+func (rh *requestHandler) keepBody(size int64, rest *link.Rest) {
+	release := rh.account.Keep(size)
+	go func() {
+		<-rest.Done()
+		release()
+	}()
+}
+
 // sendToTarget sends a call to the target and checks its answer.
 func (rh *requestHandler) sendToTarget(ctx context.Context, in admission, call *mesh.Call, p *payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
 	headers := make(mesh.Headers, len(p.Header)+4)
@@ -130,7 +139,7 @@
 	var info mesh.AnswerInfo
 	response, sent, err := rh.target.Exchange(ctx, &link.Request{
 		Method: p.Method, Path: p.Path, Host: p.host, Headers: headers, Body: p.body, Charge: p.holder.Force,
-		ID: call.CallerRequestID, Once: !call.Route.Idempotent,
+		ID: call.CallerRequestID, Once: !call.Route.Idempotent, Whole: true,
 		Match: func(status int, h mesh.Headers) link.Match {
 			info = rh.dialect.ParseAnswer(status, h)
 			switch {
@@ -149,14 +158,19 @@
 	answer = &mesh.Answer{Status: response.Status, Header: response.Header, Body: response.Body, Length: response.Length}
 	switch {
 	case info.OtherTarget:
+		response.Rest.Drop()
 		response.Body.Close()
 		return nil, mesh.NotRun(header.TargetDraining, "another target answered at the address of %q", in.target.Name)
 	case info.NotRun:
+		response.Rest.Drop()
 		response.Body.Close()
 		return nil, mesh.NotRun(header.TargetRefused, "the target did not run the request (status %d)", response.Status)
 	case response.Status < http.StatusMultipleChoices && !info.FromTarget:
 		response.Body.Close()
 		return nil, mesh.Unknown(header.AnswerLost, "the answer with status %d does not prove that it comes from the target", response.Status)
 	}
+	if response.Rest != nil {
+		rh.keepBody(int64(p.body.Len()), response.Rest)
+	}
 	return answer, nil
 }
--- a/internal/mesh/agent/shutdown.go
+++ b/internal/mesh/agent/shutdown.go
@@ -66,6 +66,10 @@
 			a.log.Warnf("the shutdown did not complete: %v.", err)
 		}
 	}
+	// Answered requests whose bodies the target still reads.
+	restCtx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	a.handler.target.AwaitRests(restCtx)
 }
 
 // closeServers closes the listeners one after the other, each when nothing needs it any more or at
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -122,6 +122,9 @@
 	// Alone asks for a connection that carries no other request, before or after.
 	Alone bool
 
+	// Whole is true when the remote end gets the whole body also if it answers before it has all of it.
+	Whole bool
+
 	// Once is true for a request that may run once. It gets a connection of its own while the remote
 	// end is suspected of mixing up its answers.
 	Once bool
@@ -155,6 +158,10 @@
 
 	// Length is the length of the body in bytes, or -1 when it is not known in advance.
 	Length int64
+
+	// Rest is what is left of the body of the request, if that is to be delivered whole; nil when the
+	// remote end had all of it. Its delivery begins when the answer has been read.
+	Rest *Rest
 }
 
 // Pool is a pool of connections to one address. It is safe for concurrent use.
@@ -183,6 +190,14 @@
 	// suspected is called when the remote end becomes suspect; nil when nobody asks.
 	suspected func(addr netip.AddrPort, cause error)
 
+	// rests is the number of rests of bodies that are being delivered. noRests is closed when it
+	// falls to zero.
+	rests   int
+	noRests chan struct{}
+
+	// restTimeout is how long such a rest may make no progress.
+	restTimeout time.Duration
+
 	// dial opens connections.
 	dial func(ctx context.Context, network, address string) (c net.Conn, err error)
 }
@@ -252,7 +267,7 @@
 
 // NewPool returns a pool of connections to the address.
 func NewPool(addr netip.AddrPort, options ...Option) (p *Pool) {
-	p = &Pool{addr: addr, dial: Dial}
+	p = &Pool{addr: addr, dial: Dial, restTimeout: restTimeout}
 	for _, o := range options {
 		o(p)
 	}
@@ -467,7 +482,7 @@
 // context.
 func (p *Pool) roundTrip(c *conn, r *Request, stop func() bool) (answer *Response, sent bool, err error) {
 	head := r.head()
-	written := make(chan error, 1)
+	body := newBodyWriter(p.restTimeout)
 	if r.Body.Len() <= maxInlineBody {
 		for _, piece := range r.Body {
 			head = append(head, piece...)
@@ -476,18 +491,9 @@
 		if err != nil {
 			return nil, n > 0, err
 		}
-		written <- nil
+		body.written <- nil
 	} else {
-		go func() {
-			_, err := c.Write(head)
-			for _, piece := range r.Body {
-				if err != nil {
-					break
-				}
-				_, err = c.Write(piece)
-			}
-			written <- err
-		}()
+		go body.write(c, head, r.Body)
 	}
 	response, match, err := c.read(r)
 	if errors.Is(err, ErrMixedAnswer) || c.strays > 0 {
@@ -502,20 +508,36 @@
 	}
 	unnamed := p.recordMatch(match)
 	bodySent := false
+	var rest *Rest
 	select {
-	case err := <-written:
+	case err := <-body.written:
 		bodySent = err == nil
 	default:
 		// The answer arrived before the request body was fully sent. The connection cannot be
 		// reused, since the rest of the body would be read as the next request.
+		if r.Whole {
+			rest = &Rest{conn: c, body: body, done: make(chan struct{})}
+			body.bound(c)
+			p.startRest()
+		}
 	}
 	reuse := bodySent && !unnamed && !c.alone && !c.wide && !response.Close && (response.ContentLength >= 0 || isChunked(response))
 	c.idleTimeout = idleTimeoutOf(response.Header)
 	finish := func(complete bool) {
 		leftover := complete && c.reader.Buffered() > 0
-		if !stop() || !complete || !reuse || leftover {
+		open := stop()
+		switch {
+		case rest != nil:
+			if !open || !complete {
+				rest.Drop()
+			}
+			go func() {
+				defer p.endRest()
+				rest.deliver(p.restTimeout)
+			}()
+		case !open || !complete || !reuse || leftover:
 			_ = c.Close()
-		} else {
+		default:
 			p.put(c)
 		}
 		if leftover {
@@ -523,7 +545,14 @@
 		}
 	}
 	r.charge(max(0, c.source.lines)*headLineCost, response.ContentLength)
-	return bufferBody(response, finish)
+	answer, err = bufferBody(response, finish)
+	if err != nil {
+		// The answer breaks off.
+		finish(false)
+		return nil, true, err
+	}
+	answer.Rest = rest
+	return answer, true, nil
 }
 
 // charge tells what an answer takes in memory: its head, and a body of that size or of an unknown one.
@@ -614,25 +643,25 @@
 }
 
 // bufferBody buffers a body of up to maxBufferedBody bytes; a larger one is streamed.
-func bufferBody(r *http.Response, finish func(complete bool)) (answer *Response, sent bool, err error) {
+func bufferBody(r *http.Response, finish func(complete bool)) (answer *Response, err error) {
 	answer = &Response{Status: r.StatusCode, Header: mesh.Headers(r.Header), Length: r.ContentLength}
 	if answer.Length > maxBufferedBody {
 		answer.Body = &stream{source: r.Body, finish: finish}
-		return answer, true, nil
+		return answer, nil
 	}
 	buffered, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBody+1))
 	if err != nil {
-		return nil, true, err
+		return nil, err
 	}
 	if len(buffered) > maxBufferedBody {
 		answer.Length = -1
 		answer.Body = &stream{buffered: buffered, source: r.Body, finish: finish}
-		return answer, true, nil
+		return answer, nil
 	}
 	finish(true)
 	answer.Length = int64(len(buffered))
 	answer.Body = io.NopCloser(bytes.NewReader(buffered))
-	return answer, true, nil
+	return answer, nil
 }
 
 // stream is the body of an answer that is forwarded while it arrives.
--- a/internal/mesh/link/pools.go
+++ b/internal/mesh/link/pools.go
@@ -1,7 +1,10 @@
 package link
 
 import (
+	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 )
 
@@ -39,3 +42,14 @@
 	}
 	return n
 }
+
+// AwaitRests blocks until the remote ends have what is left of the bodies of answered requests, or ctx
+// is done.
+func (l *Pools) AwaitRests(ctx context.Context) {
+	l.mu.Lock()
+	pools := slices.Collect(maps.Values(l.pools))
+	l.mu.Unlock()
+	for _, p := range pools {
+		p.AwaitRests(ctx)
+	}
+}
--- a/internal/mesh/memory/memory.go
+++ b/internal/mesh/memory/memory.go
@@ -440,6 +440,16 @@
 	return s == nil || s.requests < 2 || s.held+n <= int64(organisationShare*float64(a.size))
 }
 
+// Keep charges n bytes that no connection holds any more, such as the body of an answered request that
+// its target still reads. release gives them back.
+func (a *Account) Keep(n int64) (release func()) {
+	if a == nil || n <= 0 {
+		return func() {}
+	}
+	a.used.Add(n)
+	return sync.OnceFunc(func() { a.release(n) })
+}
+
 // release returns n bytes to the account.
 func (a *Account) release(n int64) {
 	a.used.Add(-n)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -276,6 +276,8 @@
 			n.log.Warnf("shutdown of the %s listener did not complete: %v.", s.name, err)
 		}
 	}
+	// Answered requests whose bodies their targets still read.
+	n.handler.targets.pools.AwaitRests(ctx)
 	n.handOverShares(ctx)
 	n.announceLeft(ctx)
 }
--- a/internal/mesh/node/target.go
+++ b/internal/mesh/node/target.go
@@ -49,7 +49,7 @@
 	}
 	request := &link.Request{
 		Method: payload.Method, Path: payload.Path, Host: target.String(), Headers: headers,
-		ID: id, Once: !call.Route.Idempotent, Match: func(_ int, h mesh.Headers) link.Match { return matchAnswer(id, h) },
+		ID: id, Once: !call.Route.Idempotent, Whole: true, Match: func(_ int, h mesh.Headers) link.Match { return matchAnswer(id, h) },
 	}
 	if !strings.HasPrefix(request.Path, "/") {
 		request.Path = "/" + request.Path
@@ -62,6 +62,7 @@
 		return nil, exchangeRefusal(ctx, sent, err, "target")
 	}
 	if header.OutcomeValue(firstValue(response.Header, header.Outcome)) == header.NotRun {
+		response.Rest.Drop()
 		response.Body.Close()
 		if firstValue(response.Header, header.RequestID) == "" {
 			// Bytes that belong to no answer can have the form of a rejection.
