link: a remote end that reads slowly is not taken for dead

Cause: TCP_USER_TIMEOUT, which finds dead remote ends, also counts a closed window.

Measured: TestClosedWindow.

--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -198,8 +198,10 @@
 	// restTimeout is how long such a rest may make no progress.
 	restTimeout time.Duration
 
-	// dial opens connections.
-	dial func(ctx context.Context, network, address string) (c net.Conn, err error)
+	// dial opens connections. bounded is true where it bounds the time for which data may stay
+	// unacknowledged.
+	bounded bool
+	dial    func(ctx context.Context, network, address string) (c net.Conn, err error)
 }
 
 // conn is a connection with the buffered reader of its answers.
@@ -260,14 +262,14 @@
 	return func(p *Pool) { p.suspected = f }
 }
 
-// WithDial opens connections with dial in place of Dial.
+// WithDial opens connections with dial in place of Dial. It sets no TCP_USER_TIMEOUT.
 func WithDial(dial func(ctx context.Context, network, address string) (c net.Conn, err error)) Option {
-	return func(p *Pool) { p.dial = dial }
+	return func(p *Pool) { p.dial, p.bounded = dial, false }
 }
 
 // NewPool returns a pool of connections to the address.
 func NewPool(addr netip.AddrPort, options ...Option) (p *Pool) {
-	p = &Pool{addr: addr, dial: Dial, restTimeout: restTimeout}
+	p = &Pool{addr: addr, dial: Dial, bounded: true, restTimeout: restTimeout}
 	for _, o := range options {
 		o(p)
 	}
@@ -494,6 +496,9 @@
 		body.written <- nil
 	} else {
 		go body.write(c, head, r.Body)
+		if p.bounded {
+			go p.watchWindow(c, body.ended)
+		}
 	}
 	response, match, err := c.read(r)
 	if errors.Is(err, ErrMixedAnswer) || c.strays > 0 {
--- a/internal/mesh/link/rest.go
+++ b/internal/mesh/link/rest.go
@@ -87,8 +87,9 @@
 
 // bodyWriter writes the head and a large body while the answer is awaited.
 type bodyWriter struct {
-	// written receives the result.
+	// written receives the result, and ended is closed then.
 	written chan error
+	ended   chan struct{}
 
 	// bounded is true once the body has to make progress by itself: until the answer has come, the
 	// time of the request bounds it.
@@ -97,7 +98,7 @@
 }
 
 func newBodyWriter(timeout time.Duration) (w *bodyWriter) {
-	return &bodyWriter{written: make(chan error, 1), timeout: timeout}
+	return &bodyWriter{written: make(chan error, 1), ended: make(chan struct{}), timeout: timeout}
 }
 
 // write writes the head and the body to c.
@@ -116,6 +117,7 @@
 		}
 	}
 	w.written <- err
+	close(w.ended)
 }
 
 // bound lets the body be given up once it has made no progress for the timeout.
--- a/internal/mesh/link/rest_test.go
+++ b/internal/mesh/link/rest_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -118,3 +119,74 @@
 	}
 	close(e.read)
 }
+
+// stallingTarget reads nothing of a request for a while after its head, and answers when it has read
+// all of it.
+func newStallingTarget(t *testing.T, stall time.Duration, options ...Option) (p *Pool) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p = NewPool(netip.MustParseAddrPort(listener.Addr().String()), options...)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		p.Close()
+	})
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				time.Sleep(stall)
+				n, _ := io.Copy(io.Discard, r.Body)
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Read: %d\r\nContent-Length: 0\r\n\r\n", n)
+			}()
+		}
+	}()
+	return p
+}
+
+// TestClosedWindow guards against a remote end that is taken for dead because it reads slowly, and
+// against one that is dead and keeps its connection since its window was closed.
+func TestClosedWindow(t *testing.T) {
+	const stall = 2*ackTimeout + 300*time.Millisecond
+	body := mesh.Pieces{bytes.Repeat([]byte("x"), 16<<20)}
+	request := &Request{Method: http.MethodPut, Path: "/", Host: "test", Body: body}
+	t.Run("alive", func(t *testing.T) {
+		t.Parallel()
+		answer, _, err := newStallingTarget(t, stall).Exchange(t.Context(), request)
+		if err != nil {
+			t.Fatalf("got %v, want the answer", err)
+		}
+		if got, want := answer.Header["X-Read"], fmt.Sprint(body.Len()); len(got) != 1 || got[0] != want {
+			t.Errorf("got %v bytes at the target, want %s", got, want)
+		}
+	})
+	t.Run("dead", func(t *testing.T) {
+		t.Parallel()
+		opened := false
+		p := newStallingTarget(t, 10*time.Second, func(p *Pool) {
+			p.dial = func(ctx context.Context, network, address string) (c net.Conn, err error) {
+				if opened {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				opened = true
+				return Dial(ctx, network, address)
+			}
+		})
+		start := time.Now()
+		_, sent, err := p.Exchange(t.Context(), request)
+		if got, limit := time.Since(start), 2*ackTimeout; err == nil || !sent || got > limit {
+			t.Errorf("got error %v, sent %t after %v, want an error after %v at most", err, sent, got, limit)
+		}
+	})
+}
