agent: a body is charged also where its early answer is not believed

An early answer without the instance's signature ends the request as unknown, and its body went on to the target without being in the account of memory.

Cause: the charge was made only for answers that are passed on.

Change: every answer but a rejection keeps the charge until the rest is delivered.

--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -155,22 +155,24 @@
 	if err != nil {
 		return nil, exchangeRefusal(sent, err, "target")
 	}
+	switch {
+	case response.Rest == nil:
+	case info.NotRun:
+		response.Rest.Drop()
+	default:
+		rh.keepBody(int64(p.body.Len()), response.Rest)
+	}
 	answer = &mesh.Answer{Status: response.Status, Header: response.Header, Body: response.Body, Length: response.Length}
 	switch {
 	case info.OtherTarget:
-		response.Rest.Drop()
 		response.Body.Close()
 		return nil, mesh.NotRun(header.TargetDraining, "another target answered at the address of %q", in.target.Name)
 	case info.NotRun:
-		response.Rest.Drop()
 		response.Body.Close()
 		return nil, mesh.NotRun(header.TargetRefused, "the target did not run the request (status %d)", response.Status)
 	case response.Status < http.StatusMultipleChoices && !info.FromTarget:
 		response.Body.Close()
 		return nil, mesh.Unknown(header.AnswerLost, "the answer with status %d does not prove that it comes from the target", response.Status)
 	}
-	if response.Rest != nil {
-		rh.keepBody(int64(p.body.Len()), response.Rest)
-	}
 	return answer, nil
 }
