node: an answer whose connection the target closes is a sign that it stopped

A target that was killed and at once started again got 3 to 5 requests at a time where a cold one bears 2.

Cause: the target was back 0.2 ms after the kill, and its node read the answers from before it up to 8 ms later. Each ended well, so the gate started a queued request at the warm limit, and that met the new process.

Change: link tells whether the remote end closed the connection with its answer, and the gate of node takes that for a sign of a stop, as it does a lost answer. Targets that close each connection without announcing it are left out: it counts where the last 16 answers kept theirs open. attach does not use the sign; its platform reports a restart before requests reach the new process.

--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -29,6 +29,10 @@
 	// minSweepInterval is the minimum time between two searches of the queue for
 	// expired requests.
 	minSweepInterval = 5 * time.Millisecond
+
+	// minKeptOpen is the number of answers in a row after which a target is expected to keep its
+	// connections open. Some targets close each one behind its answer and do not announce it.
+	minKeptOpen = 16
 )
 
 // Ticket identifies a request at a gate.
@@ -69,6 +73,10 @@
 	// meaningful.
 	NotRun bool
 
+	// ConnectionClosed is true when the target closed the connection with its answer, without
+	// having announced it.
+	ConnectionClosed bool
+
 	// Unreachable is true when no connection to the target could be opened.
 	Unreachable bool
 }
@@ -150,9 +158,13 @@
 	// success.
 	unreachableAt time.Time
 
-	// restartSuspected is true from a lost answer until the next request ends.
+	// restartSuspected is true from a lost answer, or a connection that closed unexpectedly, until
+	// the next request ends well.
 	restartSuspected bool
 
+	// keptOpen is the number of answers in a row behind which the connection stayed open.
+	keptOpen int
+
 	// closed is the refusal of all requests while the gate is closed; nil while it
 	// is open.
 	closed *mesh.Refusal
@@ -337,24 +349,40 @@
 			g.observeSample(now, s, f, inFlight)
 		}
 	case f.AnswerLost:
-		g.handleLostAnswer(now)
+		g.suspectRestart(now)
 	case f.Overloaded:
 		g.restartSuspected = false
 		g.limiter.Observe(now, f.Latency, inFlight, true)
 		f.Failed = true
 		g.observeSample(now, s, f, inFlight)
 	default:
-		g.restartSuspected = false
+		closed := g.closedUnexpectedly(f)
+		g.restartSuspected = g.restartSuspected && closed
 		g.observe(now, s, f, inFlight)
+		if closed {
+			g.suspectRestart(now)
+		}
+	}
+}
+
+// closedUnexpectedly reports whether an answer is a sign that the target stopped right behind it. A
+// target may be back before its last answers are read here, and each of them would start a request.
+func (g *Gate) closedUnexpectedly(f Finished) bool {
+	if !f.ConnectionClosed {
+		g.keptOpen++
+		return false
 	}
+	expected := g.keptOpen < minKeptOpen && !g.restartSuspected
+	g.keptOpen = 0
+	return !expected
 }
 
-// handleLostAnswer handles an incomplete answer. A single one may be caused by its
-// request; two in a row mean that the target stopped and is cold when it comes
+// suspectRestart handles a sign that the target stopped. A single one may be caused
+// by its request; two in a row mean that the target stopped and is cold when it comes
 // back. After the first one no request starts while another is in flight: all
 // requests to a stopped target fail together, and otherwise as many new ones would
 // follow at once.
-func (g *Gate) handleLostAnswer(now time.Time) {
+func (g *Gate) suspectRestart(now time.Time) {
 	if g.restartSuspected {
 		g.restart(now)
 		return
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -329,6 +329,49 @@
 	}
 }
 
+// TestClosedConnections guards against a gate that starts a request for each answer of a target that
+// has stopped right behind it, and against one that takes a target which closes its connections as a
+// rule for one that stops.
+func TestClosedConnections(t *testing.T) {
+	late := testStart.Add(time.Minute)
+	done := func(closed bool) func(Ticket) mesh.Event {
+		return func(t Ticket) mesh.Event {
+			return Finished{Ticket: t, Latency: testServiceTime, ConnectionClosed: closed}
+		}
+	}
+	open, closed := done(false), done(true)
+	for _, c := range []struct {
+		name string
+
+		// earlier is how each of the first requests ends, and then how the last ones do, one after the
+		// other, while four run.
+		earlier func(Ticket) mesh.Event
+		then    []func(Ticket) mesh.Event
+		want    string
+	}{
+		{"one is closed", open, []func(Ticket) mesh.Event{closed}, ""},
+		{"the next one stays open", open, []func(Ticket) mesh.Event{closed, open}, "+23 +24 "},
+		{"all are closed", open, []func(Ticket) mesh.Event{closed, closed, closed, closed}, "+23 +24 "},
+		{"closed as a rule", closed, []func(Ticket) mesh.Event{closed, closed, closed, closed}, "+23 +24 +25 +26 "},
+	} {
+		g := New(&coldAfterRestart{Fixed: NewFixed(4)}, WithQueue(NewFair(64, 20*time.Millisecond)))
+		const first = 18
+		for i := range first + 12 {
+			run(g, testStart, Arrival{Ticket: Ticket(i + 1), Call: testCall(2, "a", late)})
+		}
+		for i := range first {
+			run(g, testStart, c.earlier(Ticket(i+1)))
+		}
+		got := ""
+		for i, end := range c.then {
+			got += run(g, testStart, end(Ticket(first+i+1)))
+		}
+		if got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
 // coldAfterRestart is a limiter with a limit of two after a restart.
 type coldAfterRestart struct {
 	*Fixed
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -125,6 +125,9 @@
 	// Whole is true when the remote end gets the whole body also if it answers before it has all of it.
 	Whole bool
 
+	// DetectClose asks for Response.RemoteClosed, which takes a system call.
+	DetectClose bool
+
 	// Once is true for a request that may run once. It gets a connection of its own while the remote
 	// end is suspected of mixing up its answers.
 	Once bool
@@ -162,8 +165,16 @@
 	// Rest is what is left of the body of the request, if that is to be delivered whole; nil when the
 	// remote end had all of it. Its delivery begins when the answer has been read.
 	Rest *Rest
+
+	// remoteClosed is set when the body ends.
+	remoteClosed *bool
 }
 
+// RemoteClosed reports whether the remote end had closed the connection when the body ended, although
+// its answer did not announce that. It is valid once Body is closed, and false without
+// Request.DetectClose.
+func (r *Response) RemoteClosed() bool { return *r.remoteClosed }
+
 // Pool is a pool of connections to one address. It is safe for concurrent use.
 type Pool struct {
 	addr netip.AddrPort
@@ -528,7 +539,12 @@
 	}
 	reuse := bodySent && !unnamed && !c.alone && !c.wide && !response.Close && (response.ContentLength >= 0 || isChunked(response))
 	c.idleTimeout = idleTimeoutOf(response.Header)
+	remoteClosed := new(bool)
 	finish := func(complete bool) {
+		if r.DetectClose && complete && bodySent && !response.Close {
+			open, _ := c.state()
+			*remoteClosed = !open
+		}
 		leftover := complete && c.reader.Buffered() > 0
 		open := stop()
 		switch {
@@ -556,7 +572,7 @@
 		finish(false)
 		return nil, true, err
 	}
-	answer.Rest = rest
+	answer.Rest, answer.remoteClosed = rest, remoteClosed
 	return answer, true, nil
 }
 
--- a/internal/mesh/node/serve.go
+++ b/internal/mesh/node/serve.go
@@ -92,7 +92,7 @@
 		return nil, call.AttemptsLeft, refusal
 	}
 	started := time.Now()
-	answer, refusal = rh.targets.send(ctx, target, token, call, payload)
+	answer, closed, refusal := rh.targets.send(ctx, target, token, call, payload)
 	finished := gate.Finished{Ticket: admitted.ticket, Latency: time.Since(started)}
 	if refusal != nil {
 		finished.Overloaded = refusal.Code == header.TargetRefused
@@ -104,7 +104,7 @@
 		left, _ = rh.calls.Close(token)
 		return nil, left, refusal
 	}
-	return rh.finish(target, token, finished, started, answer)
+	return rh.finish(target, token, finished, started, answer, closed)
 }
 
 func (rh *requestHandler) release(call *mesh.Call) {
@@ -115,16 +115,17 @@
 
 // finish ends the delivery of an answered call. A streamed answer occupies its slot
 // until its body is closed, and returns no retry budget.
-func (rh *requestHandler) finish(target netip.AddrPort, token calls.Token, finished gate.Finished, started time.Time, answer *mesh.Answer) (result *mesh.Answer, left int, refusal *mesh.Refusal) {
+func (rh *requestHandler) finish(target netip.AddrPort, token calls.Token, finished gate.Finished, started time.Time, answer *mesh.Answer, closed func() bool) (result *mesh.Answer, left int, refusal *mesh.Refusal) {
 	stream, streaming := answer.Body.(*streamedBody)
 	if streaming {
 		stream.onClose = func() {
-			finished.Latency = time.Since(started)
+			finished.Latency, finished.ConnectionClosed = time.Since(started), closed()
 			rh.gate.Leave(target, finished)
 			rh.calls.Close(token)
 		}
 		return answer, 0, nil
 	}
+	finished.ConnectionClosed = closed()
 	rh.gate.Leave(target, finished)
 	left, answer.Level = rh.calls.Close(token)
 	return answer, left, nil
--- a/internal/mesh/node/target.go
+++ b/internal/mesh/node/target.go
@@ -31,8 +31,9 @@
 	return t
 }
 
-// send runs a call at a target.
-func (t *targetClient) send(ctx context.Context, target netip.AddrPort, token calls.Token, call *mesh.Call, payload *mesh.Payload) (answer *mesh.Answer, refusal *mesh.Refusal) {
+// send runs a call at a target. Once the body of the answer is closed, closed reports whether the
+// target closed the connection with it.
+func (t *targetClient) send(ctx context.Context, target netip.AddrPort, token calls.Token, call *mesh.Call, payload *mesh.Payload) (answer *mesh.Answer, closed func() bool, refusal *mesh.Refusal) {
 	id := call.ID.String()
 	headers := mesh.Headers(maps.Clone(payload.Header))
 	if headers == nil {
@@ -49,7 +50,7 @@
 	}
 	request := &link.Request{
 		Method: payload.Method, Path: payload.Path, Host: target.String(), Headers: headers,
-		ID: id, Once: !call.Route.Idempotent, Whole: true, Match: func(_ int, h mesh.Headers) link.Match { return matchAnswer(id, h) },
+		ID: id, Once: !call.Route.Idempotent, Whole: true, DetectClose: true, Match: func(_ int, h mesh.Headers) link.Match { return matchAnswer(id, h) },
 	}
 	if !strings.HasPrefix(request.Path, "/") {
 		request.Path = "/" + request.Path
@@ -59,22 +60,22 @@
 	}
 	response, sent, err := t.pools.Get(target).Exchange(ctx, request)
 	if err != nil {
-		return nil, exchangeRefusal(ctx, sent, err, "target")
+		return nil, nil, exchangeRefusal(ctx, sent, err, "target")
 	}
 	if header.OutcomeValue(firstValue(response.Header, header.Outcome)) == header.NotRun {
 		response.Rest.Drop()
 		response.Body.Close()
 		if firstValue(response.Header, header.RequestID) == "" {
 			// Bytes that belong to no answer can have the form of a rejection.
-			return nil, mesh.Unknown(header.AnswerLost, "the target's rejection names no request; it needs the header %s", header.RequestID)
+			return nil, nil, mesh.Unknown(header.AnswerLost, "the target's rejection names no request; it needs the header %s", header.RequestID)
 		}
-		return nil, mesh.NotRun(header.TargetRefused, "the target did not run the request")
+		return nil, nil, mesh.NotRun(header.TargetRefused, "the target did not run the request")
 	}
 	answer = &mesh.Answer{Status: response.Status, Header: forwardedHeaders(http.Header(response.Header)), Body: response.Body, Level: mesh.ClassLow}
 	if response.Length < 0 || response.Length > maxBufferedAnswer {
 		answer.Body = &streamedBody{Reader: response.Body, source: response.Body}
 	}
-	return answer, nil
+	return answer, response.RemoteClosed, nil
 }
 
 // matchAnswer says how a target's answer relates to the request with the id. Targets repeat the id in
