quota: the account of an organisation outlives its contract

Cause: each holder deleted its account with the contract and counted from zero afterwards. The others keep the last counts of an incarnation and take lower ones for those of an old report, so each holder admitted a whole contract.

Ruled out: the small buckets after a start, since the excess lasts; versions that are in force at different times, since it is as large without them.

Change: the account is kept without its contract; its counts go on when the organisation returns.

--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -144,6 +144,10 @@
 	accounts map[mesh.OrganisationName]*account
 	hosts    map[netip.AddrPort]*remoteHost
 
+	// removed holds the accounts of organisations without a contract that had one; none of them is in
+	// accounts.
+	removed map[mesh.OrganisationName]removedAccount
+
 	// fleet is empty while this host does not know which hosts share the contracts.
 	fleet       Fleet
 	reportsSent int
@@ -195,6 +199,14 @@
 	remoteAdmitted float64
 }
 
+// removedAccount is the account of an organisation whose contract was removed.
+type removedAccount struct {
+	*account
+
+	// slots is the value of RateLimiter.slots at the removal.
+	slots int
+}
+
 // remoteHost is the state of another host.
 type remoteHost struct {
 	incarnation mesh.Incarnation
@@ -310,19 +322,24 @@
 func New() (b *RateLimiter) {
 	return &RateLimiter{
 		accounts: make(map[mesh.OrganisationName]*account), hosts: make(map[netip.AddrPort]*remoteHost),
-		unresponsive: make(map[netip.AddrPort]time.Time),
+		removed: make(map[mesh.OrganisationName]removedAccount), unresponsive: make(map[netip.AddrPort]time.Time),
 	}
 }
 
-// Configure replaces the contracts. A contract with a rate of zero has no limit.
+// Configure replaces the contracts. A contract with a rate of zero has no limit. The account of an
+// organisation is kept without its contract, since the counts of an incarnation only increase: other
+// hosts take lower ones for those of an old report.
 func (b *RateLimiter) Configure(now time.Time, contracts []mesh.Contract) {
 	named := make(map[mesh.OrganisationName]bool, len(contracts))
 	for _, c := range contracts {
 		named[c.Organisation] = true
 		a, found := b.accounts[c.Organisation]
 		if !found {
-			a = &account{contract: c, refilled: now, created: now}
-			a.assumeEqualShare(&b.fleet)
+			a = b.restoreAccount(c.Organisation)
+			if a == nil {
+				a = &account{contract: c, refilled: now, created: now}
+				a.assumeEqualShare(&b.fleet)
+			}
 			b.accounts[c.Organisation] = a
 		}
 		if changed := !found || a.contract != c; changed {
@@ -330,7 +347,29 @@
 			b.resize(now, a)
 		}
 	}
-	maps.DeleteFunc(b.accounts, func(name mesh.OrganisationName, _ *account) bool { return !named[name] })
+	maps.DeleteFunc(b.accounts, func(name mesh.OrganisationName, a *account) bool {
+		if !named[name] {
+			b.removed[name] = removedAccount{account: a, slots: b.slots}
+		}
+		return !named[name]
+	})
+}
+
+// restoreAccount returns the account of an organisation that had a contract before, with the windows
+// of the present, or nil when there is none.
+func (b *RateLimiter) restoreAccount(name mesh.OrganisationName) (a *account) {
+	r, found := b.removed[name]
+	if !found {
+		return nil
+	}
+	delete(b.removed, name)
+	for range min(b.slots-r.slots, historySlots) {
+		r.offered.shift(0)
+		r.admitted.shift(0)
+	}
+	// Hosts may have come and gone.
+	r.remote, r.asked = nil, nil
+	return r.account
 }
 
 // assumeEqualShare sets the share of a node that has no information on the demand to an
