accept: a head may have as many lines as its bytes allow, also with Go 1.27

A request inside the limits whose head has more than 500 lines got 431 and lost its connection.

Cause: from Go 1.27 on net/http takes 500 header values by default, besides its limit in bytes. The nodes bound heads themselves and set only the latter.

Ruled out: the bounds of accept, whose answers and counts differ.

Change: both front ends set the number to what the bytes allow where the release of Go has the field.

Measured: TestHeadLines gets 431 without the change and passes with it; TestLargestRequest passes. The part for Go before 1.27 was not built here.

--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -226,7 +226,7 @@
 		bytes, timeout = a.headBounds()
 		return bytes + moreHead, timeout
 	}}
-	return &server{name: name, addr: addr, group: g, bounds: bounds, http: &http.Server{
+	s = &server{name: name, addr: addr, group: g, bounds: bounds, http: &http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    accept.HardHeadBytes,
 		ReadHeaderTimeout: firstByteTimeout,
@@ -234,6 +234,8 @@
 		// net/http logs clients that disconnect here, which is normal.
 		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}}
+	accept.AllowHeadLines(s.http)
+	return s
 }
 
 func (a *Agent) newControlServer(name string, addr netip.AddrPort, h http.Handler) (s *server) {
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -166,12 +166,14 @@
 }
 
 func newServer(name string, addr netip.AddrPort, h http.Handler) (s *server) {
-	return &server{name: name, addr: addr, http: &http.Server{
+	s = &server{name: name, addr: addr, http: &http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       serverIdleTimeout,
 	}}
+	accept.AllowHeadLines(s.http)
+	return s
 }
 
 // serveVars serves the metrics of the node and of its process.
