agent: the reason of a refusal that quotes a status line reaches the entry node

An instance sent an answer that begins with "HTTP/1.1 2000" or "xHTTP/1.1 200". The first caller got 502, unknown; for the ones after it the entry node had taken the host of the instance out of use and answered 503, no-target.

Cause: the refusal quotes the line that is no status line, and the node of the target sends that text in the header Quetzal-Reason. The entry node checks the answers of nodes like those of targets, finds a second status line in the head, and takes the link for failed.

Change: the reason is percent-encoded between nodes. A receiver of an earlier build shows the encoded text, and a text that is not encoded is taken as it is.

--- a/internal/mesh/agent/relay.go
+++ b/internal/mesh/agent/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -234,7 +235,7 @@
 	if code == "" || outcome != header.NotRun && outcome != header.Unknown {
 		return nil, mesh.Unknown(header.AnswerLost, "the node of the target answered with status %d but no outcome", r.Status)
 	}
-	refusal = &mesh.Refusal{Code: code, Outcome: outcome, Message: firstValue(r.Header, reasonHeader)}
+	refusal = &mesh.Refusal{Code: code, Outcome: outcome, Message: decodeReason(firstValue(r.Header, reasonHeader))}
 	milliseconds, err := strconv.Atoi(firstValue(r.Header, retryAfterHeader))
 	if err != nil {
 		rh.log.Warnf("invalid retry delay in a refusal of another node; using 0: %v.", err)
@@ -245,19 +246,30 @@
 
 // Headers of a refusal that one node sends to another.
 const (
+	// reasonHeader is the message of the refusal with percent-encoding: it may quote a status line,
+	// and an answer that holds a second one is not believed.
 	reasonHeader = header.Prefix + "Reason"
 
 	// retryAfterHeader is the delay before a retry can succeed, in milliseconds.
 	retryAfterHeader = header.Prefix + "Wait"
 )
 
+// decodeReason returns the message in a value of reasonHeader. An earlier build sends it as it is.
+func decodeReason(value string) (message string) {
+	message, err := url.PathUnescape(value)
+	if err != nil {
+		return value
+	}
+	return message
+}
+
 // writePeerRefusal sends a refusal to another node.
 func writePeerRefusal(c echo.Context, call *mesh.Call, r *mesh.Refusal) (err error) {
 	h := c.Response().Header()
 	h.Set(header.RequestID, call.CallerRequestID)
 	h.Set(header.Outcome, string(r.Outcome))
 	h.Set(header.Code, string(r.Code))
-	h.Set(reasonHeader, r.Message)
+	h.Set(reasonHeader, url.PathEscape(r.Message))
 	h.Set(retryAfterHeader, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 	accept.BoundRefusal(c.Response(), c.Request())
 	return c.NoContent(http.StatusServiceUnavailable)
