link: an answer without a status is broken

An instance sent "HTTP/1.1 000". On the platform the node beside it panicked while it wrote that status, the entry node took the link for failed and callers got 503; statuses above 599 reached them as answers. On the product's own interface the same held for answers, and a rejection with status 000 counted as "not run": one POST that may run once was sent to its target five times.

Cause: link takes three digits for a status. The same code recognises the beginning of a copy inside a head or a body, where any three digits are right.

Ruled out: the names of fields. Blanks and control bytes in them were refused before; TestBrokenNames plays each byte that no name may hold. The trailers of a body are not passed on (TestBrokenTrailers).

Change: the line that begins a head needs a status from 100 to 599; the search for copies stays as wide as it was. The log line and the message name a broken answer. FuzzAnswers spoils copies of answers and never the answer itself, so it never drew this; FuzzHeads draws the bytes of a head and compares with the grammar of RFC 9112.

--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -114,7 +114,7 @@
 // newTargetPool returns the connections to the target of this host.
 func newTargetPool(vars *expvar.Map, addr netip.AddrPort, account *memory.Account, log logs.Log) (p *link.Pool) {
 	p = link.NewPool(addr, link.WithAccount(account), link.WithSuspicion(func(_ netip.AddrPort, cause error) {
-		log.Warnf("the target mixes up its answers; for %v, requests that may run once get connections of their own: %v.", link.SuspectTime, cause)
+		log.Warnf("the target sends broken or mixed-up answers; for %v, requests that may run once get connections of their own: %v.", link.SuspectTime, cause)
 	}))
 	vars.Set("target-mixed-answers", expvar.Func(func() any { return p.Mixed() }))
 	return p
--- a/internal/mesh/link/answer.go
+++ b/internal/mesh/link/answer.go
@@ -11,9 +11,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMixedAnswer means that bytes that belong to no answer, or to another one, precede or spoil the
-// answer to the request. What the remote end did with the request is not known then.
-var ErrMixedAnswer = errors.New("the answer is mixed with bytes that do not belong to it")
+// ErrMixedAnswer means that the remote end sent a broken answer, or bytes that belong to no answer or
+// to another one. What it did with the request is not known then.
+var ErrMixedAnswer = errors.New("the answer is broken or mixed with bytes that do not belong to it")
 
 // statusLine is the beginning of a status line up to its version's minor digit.
 const statusLine = "HTTP/1."
@@ -85,14 +85,18 @@
 // isStatusLine reports whether a line without its end is a status line of HTTP/1.0 or 1.1.
 func isStatusLine(line []byte) bool {
 	const sizeToStatus = len(statusLine) + len("1 200")
-	if len(line) < sizeToStatus || !startsStatusLine(line) {
+	if !startsStatusLine(line) || !isStatusClass(line[sizeToStatus-3]) {
 		return false
 	}
 	reason := line[sizeToStatus:]
 	return len(reason) == 0 || reason[0] == ' ' && validValue(reason)
 }
 
-// startsStatusLine reports whether data begins with a version and a status.
+// isStatusClass reports whether b is the first digit of a status.
+func isStatusClass(b byte) bool { return b >= '1' && b <= '5' }
+
+// startsStatusLine reports whether data begins with a version and three digits. In the midst of an
+// answer that is the beginning of another one even where the digits are no status.
 func startsStatusLine(data []byte) bool {
 	if len(data) < len(statusLine)+len("1 200") || !bytes.HasPrefix(data, []byte(statusLine)) {
 		return false
@@ -103,7 +107,7 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
-// holdsStatusLine reports whether a version and a status stand anywhere in data.
+// holdsStatusLine reports whether a version and three digits stand anywhere in data.
 func holdsStatusLine(data []byte) bool {
 	for {
 		i := bytes.Index(data, []byte(statusLine))
--- a/internal/mesh/node/target.go
+++ b/internal/mesh/node/target.go
@@ -25,7 +25,7 @@
 func newTargetClient(vars *expvar.Map, log logs.Log) (t *targetClient) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	t = &targetClient{pools: link.NewPools(link.WithDial(dialer.DialContext), link.WithSuspicion(func(addr netip.AddrPort, cause error) {
-		log.Warnf("the target at %v mixes up its answers; for %v, requests that may run once get connections of their own: %v.", addr, link.SuspectTime, cause)
+		log.Warnf("the target at %v sends broken or mixed-up answers; for %v, requests that may run once get connections of their own: %v.", addr, link.SuspectTime, cause)
 	}))}
 	vars.Set("target-mixed-answers", expvar.Func(func() any { return t.pools.Mixed() }))
 	return t
