node: broken answers of other nodes are not believed

A node whose peer sent status 000, 600 or a head with a blank in a name took the answer as that of the target, or as a refusal: a caller got it, and with status 000 the caller's connection ended without an answer.

Cause: calls between nodes and control messages are read with net/http, which takes any three digits for a status ("-00" too) and a name with blanks for that of a field. "Transfer-Encoding : chunked" is then no Transfer-Encoding.

Ruled out: control bytes in names, which net/http refuses; they stay in the tests.

Change: link.Transport checks the status and the names of answers that net/http has read, and closes their connections, on which the rest may follow. Both kinds of messages use it.

--- a/internal/mesh/link/answer.go
+++ b/internal/mesh/link/answer.go
@@ -92,8 +92,11 @@
 	return len(reason) == 0 || reason[0] == ' ' && validValue(reason)
 }
 
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
 // isStatusClass reports whether b is the first digit of a status.
-func isStatusClass(b byte) bool { return b >= '1' && b <= '5' }
+func isStatusClass(b byte) bool { return b >= '1' && b <= '0'+maxStatus/100 }
 
 // startsStatusLine reports whether data begins with a version and three digits. In the midst of an
 // answer that is the beginning of another one even where the digits are no status.
--- a/internal/mesh/node/config_test.go
+++ b/internal/mesh/node/config_test.go
@@ -186,7 +186,7 @@
 	server := httptest.NewServer(signer.Verify(wire.NewConfigServer(d)))
 	b.Cleanup(server.Close)
 	transport := newTransport(0)
-	transport.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+	transport.Base.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
 		conn, err = new(net.Dialer).DialContext(ctx, network, address)
 		return measuredConn{conn, bytes}, err
 	}
--- a/internal/mesh/node/count.go
+++ b/internal/mesh/node/count.go
@@ -4,7 +4,8 @@
 	"context"
 	"expvar"
 	"net"
-	"net/http"
+
+	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 )
 
 // peerBytes counts the bytes that a node exchanges with other nodes: all bytes on
@@ -54,10 +55,10 @@
 }
 
 // controlTransport returns a transport for control messages that counts their bytes.
-func (p peerBytes) controlTransport() (t *http.Transport) {
+func (p peerBytes) controlTransport() (t *link.Transport) {
 	t = newTransport(0)
-	dial := t.DialContext
-	t.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+	dial := t.Base.DialContext
+	t.Base.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
 		conn, err = dial(ctx, network, address)
 		if err != nil {
 			return nil, err
--- a/internal/mesh/node/exchange.go
+++ b/internal/mesh/node/exchange.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
 	"github.com/quetzalstack/quetzalstack/pkg/header"
 )
@@ -70,9 +71,9 @@
 }
 
 // newTransport returns a transport whose connections are countingConns.
-func newTransport(maxConnections int) (t *http.Transport) {
+func newTransport(maxConnections int) (t *link.Transport) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return &link.Transport{Base: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (conn net.Conn, err error) {
 			conn, err = dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -86,7 +87,7 @@
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	}}
 }
 
 // singleUseBody is a body that net/http cannot rewind. With a body that it can
