store: a broken answer of the platform means that it is unavailable

An answer with status 000 to a transaction counted as written, so that a claim, a version of the settings or a key would be taken for stored; one to a read counted as a row without content. A head with a blank in a name was believed as well.

Cause: the client reads with net/http, and took each status below 400 for success. docs/platform.md says that a broken answer is none.

Ruled out: statuses above 599, which counted as unavailable before.

Change: the client uses link.Transport.

Evidence: TestBrokenAnswers failed in 30 of 65 cases before and passes.

--- a/internal/mesh/store/store.go
+++ b/internal/mesh/store/store.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 )
 
 // maxBody is the maximum size of an answer in bytes.
@@ -40,7 +41,7 @@
 	for _, o := range options {
 		o(c)
 	}
-	c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	c.client = &http.Client{Transport: &link.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}}
 	return c
 }
 
