link: an answer of HTTP/1.0 in chunks is broken

The body that a caller got from such an answer was the framing of the chunks with the body in it, once the target had closed the connection; until then the request waited.

Cause: HTTP/1.0 has no Transfer-Encoding, so net/http ignores the field and reads up to the end of the connection. RFC 9112 calls the framing of such a message faulty.

Ruled out: lengths with a sign, in hexadecimal, empty, negative or listed twice in one line, and other codings, which are errors already (trial).

Change: the check of a head refuses Transfer-Encoding behind HTTP/1.0.

Evidence: in a trial the body read was "4\r\npaid\r\n0\r\n\r\n". TestChunksOfHTTP10 failed (the request waited for its 2 s) and passes.

--- a/internal/mesh/link/answer.go
+++ b/internal/mesh/link/answer.go
@@ -34,7 +34,7 @@
 	if holdsStatusLine(rest) || holdsStatusLine(line[len(statusLine):]) {
 		return fmt.Errorf("%w: its head holds two status lines", ErrMixedAnswer)
 	}
-	return checkFields(rest)
+	return checkFields(rest, line[len(statusLine)])
 }
 
 // peekHead returns the head of the next answer, with the empty line that ends it.
@@ -125,8 +125,8 @@
 	}
 }
 
-// checkFields checks the lines of a head behind its status line.
-func checkFields(lines []byte) (err error) {
+// checkFields checks the lines of a head behind its status line, which has that minor version.
+func checkFields(lines []byte, minor byte) (err error) {
 	lengths, codings := 0, 0
 	for {
 		line, rest, _ := bytes.Cut(lines, []byte("\n"))
@@ -146,6 +146,9 @@
 		}
 		lines = rest
 	}
+	if minor == '0' && codings > 0 {
+		return fmt.Errorf("%w: it is of HTTP/1.0, which has no Transfer-Encoding", ErrMixedAnswer)
+	}
 	if lengths+codings > 1 {
 		return fmt.Errorf("%w: its head states the length %d times", ErrMixedAnswer, lengths+codings)
 	}
--- a/internal/mesh/link/broken_test.go
+++ b/internal/mesh/link/broken_test.go
@@ -32,6 +32,12 @@
 	}
 }
 
+// TestChunksOfHTTP10 guards against the framing of chunks that is taken for a body. HTTP/1.0 has no
+// chunks, so a library reads the body of such an answer up to the end of the connection.
+func TestChunksOfHTTP10(t *testing.T) {
+	checkBroken(t, "HTTP/1.0 200 OK\r\n"+idHeader+": request-1b\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npaid\r\n0\r\n\r\n")
+}
+
 // TestBrokenHealthCheck guards against a health check, which takes every answer for its own, that
 // believes a broken one.
 func TestBrokenHealthCheck(t *testing.T) {
