store: only 200 and 204 of the platform are a success

A transaction that was answered with 201, 206 or a redirection counted as written, and redirections were followed, so a read could come from another address.

The check of link.Transport leaves those that are a status.

Ruled out: the client of the metadata store in platform/, which takes 200 alone.

Change: 200 and 204 are a success, other statuses below 400 mean unavailable, and no redirection is followed.

Evidence: TestOtherStatuses failed for all 12 answers before (4 requests reached the other address) and passes.

--- a/internal/mesh/store/broken_test.go
+++ b/internal/mesh/store/broken_test.go
@@ -44,3 +44,26 @@
 		}
 	}
 }
+
+// TestOtherStatuses guards against an answer that is neither a success nor an error of the platform's
+// protocol and counts as success, and against a redirection that the client follows.
+func TestOtherStatuses(t *testing.T) {
+	elsewhere := broken.NewServer(t, broken.Answer{}.Text("HTTP/1.1 200 OK", "", "{}"))
+	for _, statusLine := range []string{
+		"HTTP/1.1 201 Created", "HTTP/1.1 206 Partial Content", "HTTP/1.1 300 Multiple Choices", "HTTP/1.1 302 Found",
+		"HTTP/1.1 304 Not Modified", "HTTP/1.1 307 Temporary Redirect",
+	} {
+		for _, location := range []string{"", "Location: http://" + elsewhere.Addr.String() + "/\r\n"} {
+			c := New(broken.NewServer(t, broken.Answer{}.Text(statusLine, location, "")).Addr)
+			if err := c.Commit(t.Context(), []mesh.Write{{Key: "a"}}); !errors.Is(err, mesh.ErrPlatformUnavailable) {
+				t.Errorf("%s, %q: commit: got %v, want %v", statusLine, location, err, mesh.ErrPlatformUnavailable)
+			}
+			if _, _, err := c.Read(t.Context(), "a"); !errors.Is(err, mesh.ErrPlatformUnavailable) {
+				t.Errorf("%s, %q: read: got %v, want %v", statusLine, location, err, mesh.ErrPlatformUnavailable)
+			}
+		}
+	}
+	if got, want := elsewhere.Requests.Load(), int64(0); got != want {
+		t.Errorf("got %d requests elsewhere, want %d", got, want)
+	}
+}
--- a/internal/mesh/store/store.go
+++ b/internal/mesh/store/store.go
@@ -41,7 +41,11 @@
 	for _, o := range options {
 		o(c)
 	}
-	c.client = &http.Client{Transport: &link.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}}
+	c.client = &http.Client{
+		Transport: &link.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		// The platform redirects nobody.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	return c
 }
 
@@ -106,8 +110,8 @@
 }
 
 // do sends one request. The body of the answer is stored unchanged in a *[]byte, and
-// is decoded from JSON for any other type of answer. Network errors and the statuses
-// 429 and 5xx are reported as mesh.ErrPlatformUnavailable.
+// is decoded from JSON for any other type of answer. Network errors and all statuses but
+// 200, 204 and 4xx without 429 are reported as mesh.ErrPlatformUnavailable.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, answer any) (err error) {
 	defer func() {
 		if err != nil {
@@ -129,11 +133,17 @@
 	switch {
 	case err != nil:
 		return fmt.Errorf("%w: %w", mesh.ErrPlatformUnavailable, err)
-	case response.StatusCode >= http.StatusInternalServerError, response.StatusCode == http.StatusTooManyRequests:
-		return fmt.Errorf("%w: %w", mesh.ErrPlatformUnavailable, &statusError{status: response.StatusCode, body: data})
-	case response.StatusCode >= http.StatusBadRequest:
+	case response.StatusCode == http.StatusOK, response.StatusCode == http.StatusNoContent:
+		return decode(data, answer)
+	case response.StatusCode >= http.StatusBadRequest && response.StatusCode < http.StatusInternalServerError && response.StatusCode != http.StatusTooManyRequests:
 		return &statusError{status: response.StatusCode, body: data}
+	default:
+		return fmt.Errorf("%w: %w", mesh.ErrPlatformUnavailable, &statusError{status: response.StatusCode, body: data})
 	}
+}
+
+// decode stores the body of an answer in answer, see do.
+func decode(data []byte, answer any) (err error) {
 	switch a := answer.(type) {
 	case nil:
 		return nil
