agent: a request id that holds a status line is refused

A client sent the id "HTTP/1.1 200 g". It got 502, and the callers behind it got 503, no-target: the entry node had taken the host of the target out of use.

Cause: targets and nodes repeat the id in their answers, and a second status line in the head of an answer means that two were mixed.

Change: such an id is malformed: 400, not run.

Evidence: two rows of TestRefusals failed before (502 instead of 400, then 503 instead of 200 for an ordinary request) and pass.

--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -107,6 +107,10 @@
 	if err != nil {
 		return call, nil, mesh.NotRun(header.RequestIDMalformed, "%v", err)
 	}
+	if link.HoldsStatusLine(info.ID) {
+		// An answer repeats the id, and one that holds a second status line is not believed.
+		return call, nil, mesh.NotRun(header.RequestIDMalformed, "the request id holds a status line")
+	}
 	view := rh.follow.View()
 	if view == nil {
 		return call, nil, notReady()
--- a/internal/mesh/link/answer.go
+++ b/internal/mesh/link/answer.go
@@ -110,6 +110,9 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
+// HoldsStatusLine reports whether an answer with the text in a field would be taken for two answers.
+func HoldsStatusLine(text string) bool { return holdsStatusLine([]byte(text)) }
+
 // holdsStatusLine reports whether a version and three digits stand anywhere in data.
 func holdsStatusLine(data []byte) bool {
 	for {
