--- a/internal/mesh/broken/broken.go
+++ b/internal/mesh/broken/broken.go
@@ -42,7 +42,8 @@
 	{Name: "empty name", Field: ": 1"},
 }
 
-// Text returns the answer with what is sound in it.
+// Text returns the bytes of an answer that is broken in this way. The arguments are its sound parts;
+// fields holds whole lines.
 func (a Answer) Text(statusLine, fields, body string) (text string) {
 	broken := a.Field
 	if broken != "" {
--- a/internal/mesh/link/answer.go
+++ b/internal/mesh/link/answer.go
@@ -15,8 +15,16 @@
 // to another one. What it did with the request is not known then.
 var ErrMixedAnswer = errors.New("the answer is broken or mixed with bytes that do not belong to it")
 
-// statusLine is the beginning of a status line up to its version's minor digit.
-const statusLine = "HTTP/1."
+// statusLine is the beginning of a status line up to its version's minor digit. The status follows from
+// statusAt to statusEnd.
+const (
+	statusLine = "HTTP/1."
+	statusAt   = len(statusLine) + len("1 ")
+	statusEnd  = statusAt + len("200")
+)
+
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
 
 // checkHead waits for the head of the next answer and checks it, without consuming it. The head of
 // an answer follows the remains of an earlier one where the remote end broke off a copy of that: so
@@ -84,28 +92,24 @@
 
 // isStatusLine reports whether a line without its end is a status line of HTTP/1.0 or 1.1.
 func isStatusLine(line []byte) bool {
-	const sizeToStatus = len(statusLine) + len("1 200")
-	if !startsStatusLine(line) || !isStatusClass(line[sizeToStatus-3]) {
+	if !startsStatusLine(line) || !isStatusClass(line[statusAt]) {
 		return false
 	}
-	reason := line[sizeToStatus:]
+	reason := line[statusEnd:]
 	return len(reason) == 0 || reason[0] == ' ' && validValue(reason)
 }
 
-// maxStatus is the highest status of HTTP.
-const maxStatus = 599
-
 // isStatusClass reports whether b is the first digit of a status.
 func isStatusClass(b byte) bool { return b >= '1' && b <= '0'+maxStatus/100 }
 
 // startsStatusLine reports whether data begins with a version and three digits. In the midst of an
 // answer that is the beginning of another one even where the digits are no status.
 func startsStatusLine(data []byte) bool {
-	if len(data) < len(statusLine)+len("1 200") || !bytes.HasPrefix(data, []byte(statusLine)) {
+	if len(data) < statusEnd || !bytes.HasPrefix(data, []byte(statusLine)) {
 		return false
 	}
-	version, status := data[len(statusLine)], data[len(statusLine)+2:len(statusLine)+5]
-	return (version == '0' || version == '1') && data[len(statusLine)+1] == ' ' && isDigit(status[0]) && isDigit(status[1]) && isDigit(status[2])
+	version, status := data[len(statusLine)], data[statusAt:statusEnd]
+	return (version == '0' || version == '1') && data[statusAt-1] == ' ' && isDigit(status[0]) && isDigit(status[1]) && isDigit(status[2])
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
@@ -197,7 +201,7 @@
 	for chunk := make([]byte, readBuffer); ; {
 		n, err := body.Read(chunk)
 		// A status line may begin at the end of what was read before.
-		from := max(0, len(data)-len(statusLine)-len("1 200"))
+		from := max(0, len(data)-statusEnd)
 		data = append(data, chunk[:n]...)
 		if holdsStatusLine(data[from:]) {
 			return fmt.Errorf("%w: the body of an answer to another request holds a status line", ErrMixedAnswer)
--- a/internal/mesh/store/store.go
+++ b/internal/mesh/store/store.go
@@ -109,9 +109,8 @@
 	return fmt.Sprintf("platform answered with status %d: %.200s", e.status, e.body)
 }
 
-// do sends one request. The body of the answer is stored unchanged in a *[]byte, and
-// is decoded from JSON for any other type of answer. Network errors and all statuses but
-// 200, 204 and 4xx without 429 are reported as mesh.ErrPlatformUnavailable.
+// do sends one request and decodes its answer. Network errors, the status 429 and all statuses
+// but 200, 204 and 4xx are reported as mesh.ErrPlatformUnavailable.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, answer any) (err error) {
 	defer func() {
 		if err != nil {
@@ -142,7 +141,7 @@
 	}
 }
 
-// decode stores the body of an answer in answer, see do.
+// decode stores the body of an answer, unchanged in a *[]byte and decoded from JSON otherwise.
 func decode(data []byte, answer any) (err error) {
 	switch a := answer.(type) {
 	case nil:
