--- a/internal/mesh/link/answer.go
+++ b/internal/mesh/link/answer.go
@@ -11,9 +11,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMixedAnswer means that the remote end sent a broken answer, or bytes that belong to no answer or
+// ErrBrokenAnswer means that the remote end sent a broken answer, or bytes that belong to no answer or
 // to another one. What it did with the request is not known then.
-var ErrMixedAnswer = errors.New("the answer is broken or mixed with bytes that do not belong to it")
+var ErrBrokenAnswer = errors.New("the answer is broken or mixed with bytes that do not belong to it")
 
 // statusLine is the beginning of a status line up to its version's minor digit. The status follows from
 // statusAt to statusEnd.
@@ -37,10 +37,10 @@
 	}
 	line, rest, _ := bytes.Cut(head, []byte("\n"))
 	if !isStatusLine(trimCR(line)) {
-		return fmt.Errorf("%w: it begins with %.40q", ErrMixedAnswer, line)
+		return fmt.Errorf("%w: it begins with %.40q", ErrBrokenAnswer, line)
 	}
 	if holdsStatusLine(rest) || holdsStatusLine(line[len(statusLine):]) {
-		return fmt.Errorf("%w: its head holds two status lines", ErrMixedAnswer)
+		return fmt.Errorf("%w: its head holds two status lines", ErrBrokenAnswer)
 	}
 	return checkFields(rest, line[len(statusLine)])
 }
@@ -143,7 +143,7 @@
 		}
 		name, value, found := bytes.Cut(line, []byte(":"))
 		if !found || !validName(name) || !validValue(value) {
-			return fmt.Errorf("%w: its head has the line %.40q", ErrMixedAnswer, line)
+			return fmt.Errorf("%w: its head has the line %.40q", ErrBrokenAnswer, line)
 		}
 		switch {
 		case isField(name, "Content-Length"):
@@ -154,10 +154,10 @@
 		lines = rest
 	}
 	if minor == '0' && codings > 0 {
-		return fmt.Errorf("%w: it is of HTTP/1.0, which has no Transfer-Encoding", ErrMixedAnswer)
+		return fmt.Errorf("%w: it is of HTTP/1.0, which has no Transfer-Encoding", ErrBrokenAnswer)
 	}
 	if lengths+codings > 1 {
-		return fmt.Errorf("%w: its head states the length %d times", ErrMixedAnswer, lengths+codings)
+		return fmt.Errorf("%w: its head states the length %d times", ErrBrokenAnswer, lengths+codings)
 	}
 	return nil
 }
@@ -204,7 +204,7 @@
 		from := max(0, len(data)-statusEnd)
 		data = append(data, chunk[:n]...)
 		if holdsStatusLine(data[from:]) {
-			return fmt.Errorf("%w: the body of an answer to another request holds a status line", ErrMixedAnswer)
+			return fmt.Errorf("%w: the body of an answer to another request holds a status line", ErrBrokenAnswer)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/internal/mesh/link/answer_test.go
+++ b/internal/mesh/link/answer_test.go
@@ -272,8 +272,8 @@
 		"return in a value":     idHeader + ": request-1b\r\nX-A: a\rb\r\nContent-Length: 0\r\n",
 	} {
 		target := newFaultyTarget(t, []testExchange{{id: "request-1b", answer: testAnswer{status: 200}, before: "HTTP/1.1 503 Full\r\n" + fields + "\r\n"}})
-		if got, _, err := target.send("request-1b", true); !errors.Is(err, ErrMixedAnswer) {
-			t.Errorf("%s: got %+v (%v), want %v", name, got, err, ErrMixedAnswer)
+		if got, _, err := target.send("request-1b", true); !errors.Is(err, ErrBrokenAnswer) {
+			t.Errorf("%s: got %+v (%v), want %v", name, got, err, ErrBrokenAnswer)
 		}
 	}
 }
--- a/internal/mesh/link/broken_test.go
+++ b/internal/mesh/link/broken_test.go
@@ -46,8 +46,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		answer, _, err := target.pool.Exchange(ctx, &Request{Method: http.MethodGet, Path: "/health", Host: "test", Alone: true})
 		cancel()
-		if !errors.Is(err, ErrMixedAnswer) {
-			t.Errorf("%s: got %+v (%v), want %v", line, answer, err, ErrMixedAnswer)
+		if !errors.Is(err, ErrBrokenAnswer) {
+			t.Errorf("%s: got %+v (%v), want %v", line, answer, err, ErrBrokenAnswer)
 		}
 	}
 }
@@ -83,8 +83,8 @@
 				t.Fatalf("got %+v (%v), want %+v", got, err, paid)
 			}
 		}
-		if got, sent, err := target.send("request-1b", used); !errors.Is(err, ErrMixedAnswer) || !sent {
-			t.Errorf("used connection %t: got %+v (%v), sent %t, want %v", used, got, err, sent, ErrMixedAnswer)
+		if got, sent, err := target.send("request-1b", used); !errors.Is(err, ErrBrokenAnswer) || !sent {
+			t.Errorf("used connection %t: got %+v (%v), sent %t, want %v", used, got, err, sent, ErrBrokenAnswer)
 		}
 		if !target.pool.Suspect(time.Now()) {
 			t.Errorf("used connection %t: got a target that is not suspect, want a suspect one", used)
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -399,7 +399,7 @@
 }
 
 // errLeftover means that a connection holds bytes behind the last answer.
-var errLeftover = fmt.Errorf("%w: more bytes follow an answer", ErrMixedAnswer)
+var errLeftover = fmt.Errorf("%w: more bytes follow an answer", ErrBrokenAnswer)
 
 // state reports whether an idle connection is open, and clean of data that no request has asked for.
 func (c *conn) state() (open, clean bool) {
@@ -512,7 +512,7 @@
 		}
 	}
 	response, match, err := c.read(r)
-	if errors.Is(err, ErrMixedAnswer) || c.strays > 0 {
+	if errors.Is(err, ErrBrokenAnswer) || c.strays > 0 {
 		p.suspect(cmp.Or(err, errStray))
 	}
 	if err != nil {
@@ -620,7 +620,7 @@
 }
 
 // errStray means that a connection delivered an answer to another request.
-var errStray = fmt.Errorf("%w: an answer to another request came first", ErrMixedAnswer)
+var errStray = fmt.Errorf("%w: an answer to another request came first", ErrBrokenAnswer)
 
 // read returns the answer to the request and how it was matched. It skips informational responses
 // and answers to other requests.
@@ -644,9 +644,9 @@
 		}
 		switch {
 		case match == Contradiction:
-			return nil, NoMatch, fmt.Errorf("%w: its fields contradict each other", ErrMixedAnswer)
+			return nil, NoMatch, fmt.Errorf("%w: its fields contradict each other", ErrBrokenAnswer)
 		case match == MatchByOrder && (c.used || c.strays > 0):
-			return nil, NoMatch, fmt.Errorf("%w: it names no request, on a connection that has carried others", ErrMixedAnswer)
+			return nil, NoMatch, fmt.Errorf("%w: it names no request, on a connection that has carried others", ErrBrokenAnswer)
 		case match != NoMatch:
 			return response, match, nil
 		}
--- a/internal/mesh/link/link_test.go
+++ b/internal/mesh/link/link_test.go
@@ -121,7 +121,7 @@
 	}{
 		{MatchByID, 1, nil},
 		{MatchByID, 1, nil},
-		{MatchByOrder, 1, ErrMixedAnswer},
+		{MatchByOrder, 1, ErrBrokenAnswer},
 		{MatchByOrder, 2, nil},
 		{MatchByOrder, 3, nil},
 		{MatchByID, 4, nil},
--- a/internal/mesh/link/transport.go
+++ b/internal/mesh/link/transport.go
@@ -38,11 +38,11 @@
 // checkResponse checks the status and the names of the fields of a final answer.
 func checkResponse(r *http.Response) (err error) {
 	if r.StatusCode < http.StatusOK || r.StatusCode > maxStatus {
-		return fmt.Errorf("%w: its status is %.40q", ErrMixedAnswer, r.Status)
+		return fmt.Errorf("%w: its status is %.40q", ErrBrokenAnswer, r.Status)
 	}
 	for name := range r.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("%w: its head has the name %.40q", ErrMixedAnswer, name)
+			return fmt.Errorf("%w: its head has the name %.40q", ErrBrokenAnswer, name)
 		}
 	}
 	return nil
