--- a/internal/mesh/link/broken_test.go
+++ b/internal/mesh/link/broken_test.go
@@ -136,6 +136,8 @@
 	}
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent Length: 4\r\nX-A\x01: 1\r\n\r\npaid"))
 	f.Add([]byte("HTTP/1.0 200\nContent-Length : 4\nX-A:\t1\n\npaid"))
+	// A reason may hold bytes that are not UTF-8.
+	f.Add([]byte("HTTP/1.0 200 \xcb\n\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		source := &boundedSource{source: bytes.NewReader(data)}
 		c := &conn{source: source, reader: bufio.NewReaderSize(source, readBuffer)}
@@ -169,7 +171,7 @@
 	defer cancel()
 	answer, _, err := target.pool.Exchange(ctx, &Request{Method: http.MethodGet, Path: "/", Host: "test", Headers: map[string][]string{idHeader: {"request-1b"}}})
 	if err != nil {
-		return
+		t.Fatalf("got %v, want the answer", err)
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
--- a/internal/mesh/node/broken_test.go
+++ b/internal/mesh/node/broken_test.go
@@ -45,26 +45,30 @@
 // TestResendAfterBrokenAnswer guards against a claim that is released by a broken rejection, so that
 // the request runs again when its caller resends it.
 func TestResendAfterBrokenAnswer(t *testing.T) {
-	target := newScriptedTarget(t, func(_ int, conn net.Conn, r *http.Request) (open bool) {
-		return replyBroken(conn, broken.Answer{StatusLine: "HTTP/1.1 000 Trouble"}, header.Outcome+": not-run\r\n", r)
-	})
-	r := newNodeFixture(t, target.addr())
-	id, _ := mesh.NewRequestID()
-	send := func() (a callerAnswer) {
-		return r.send(http.MethodPost, "/ledger/pay", []byte("body"), header.RequestID, id.String())
-	}
-	if got := send(); got.outcome != header.Unknown || got.code != header.AnswerLost {
-		t.Errorf("got %+v, want %s, %s", got, header.Unknown, header.AnswerLost)
-	}
-	got := send()
-	for deadline := time.Now().Add(5 * time.Second); got.code == header.NoTarget && time.Now().Before(deadline); got = send() {
-		time.Sleep(10 * time.Millisecond) // The link to the target is in backoff.
-	}
-	if got.outcome != header.Unknown || got.code != header.AlreadyClaimed {
-		t.Errorf("resent: got %+v, want %s, %s", got, header.Unknown, header.AlreadyClaimed)
-	}
-	if got, want := target.receivedCount(id.String()), 1; got != want {
-		t.Errorf("got %d requests at the target, want %d", got, want)
+	for _, a := range []broken.Answer{{Name: "status", StatusLine: "HTTP/1.1 000 Trouble"}, {Name: "name", Field: "X A: 1"}} {
+		t.Run(a.Name, func(t *testing.T) {
+			target := newScriptedTarget(t, func(_ int, conn net.Conn, r *http.Request) (open bool) {
+				return replyBroken(conn, a, header.Outcome+": not-run\r\n", r)
+			})
+			r := newNodeFixture(t, target.addr())
+			id, _ := mesh.NewRequestID()
+			send := func() (got callerAnswer) {
+				return r.send(http.MethodPost, "/ledger/pay", []byte("body"), header.RequestID, id.String())
+			}
+			if got := send(); got.outcome != header.Unknown || got.code != header.AnswerLost {
+				t.Errorf("got %+v, want %s, %s", got, header.Unknown, header.AnswerLost)
+			}
+			got := send()
+			for deadline := time.Now().Add(5 * time.Second); got.code == header.NoTarget && time.Now().Before(deadline); got = send() {
+				time.Sleep(10 * time.Millisecond) // The link to the target is in backoff.
+			}
+			if got.outcome != header.Unknown || got.code != header.AlreadyClaimed {
+				t.Errorf("resent: got %+v, want %s, %s", got, header.Unknown, header.AlreadyClaimed)
+			}
+			if got, want := target.receivedCount(id.String()), 1; got != want {
+				t.Errorf("got %d requests at the target, want %d", got, want)
+			}
+		})
 	}
 }
 
