link: a reset during an upload cuts an answer without a length

Callers saw: a target answered a long upload early, with a 200 without a length, sent a part of its body and reset the connection. The caller got that part, also one of 0 bytes, as the complete answer.

Cause: the end of such an answer is the end of the connection. Linux reports the failure of a connection to one system call. The goroutine that writes the request takes ECONNRESET, and the read of the answer then finds an end of file, as behind an end in order. The readers of link.Pool and of net/http both count it as the end of the answer, so the fault is not in one of them.

Change: link.Pool and link.Transport open connections as strictConn. It notes the first error of a read or write, and returns io.EOF only if the connection ended in order: its state is CLOSE_WAIT, or it failed with EPIPE, which Linux reports only for a reset behind the remote end, or no read or write failed and none is in progress. For the last it waits up to a second for the write; a write to a dead connection ends at once. Every client of the product reads through one of the two: requests, health checks, calls and control messages between nodes, fetched configuration, the clients of the stores.

--- a/internal/mesh/agent/fetch.go
+++ b/internal/mesh/agent/fetch.go
@@ -49,7 +49,7 @@
 	return &fetchDuty{
 		events: ring.New(vars, "fetch", fetchRing),
 		source: source, follow: follow, log: log,
-		client: &http.Client{Timeout: fetchTimeout, Transport: &link.Transport{Base: &http.Transport{DialContext: link.Dial, DisableKeepAlives: true}}},
+		client: &http.Client{Timeout: fetchTimeout, Transport: link.NewTransport(&http.Transport{DialContext: link.Dial, DisableKeepAlives: true})},
 	}
 }
 
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -212,7 +212,7 @@
 	// dial opens connections. bounded is true where it bounds the time for which data may stay
 	// unacknowledged.
 	bounded bool
-	dial    func(ctx context.Context, network, address string) (c net.Conn, err error)
+	dial    dialFunc
 }
 
 // conn is a connection with the buffered reader of its answers.
@@ -436,17 +436,13 @@
 	if !p.account.OpenOutgoing() {
 		return nil, ErrNoSocket
 	}
-	opened, err := p.dial(ctx, "tcp", p.addr.String())
+	opened, err := dialStrict(ctx, p.dial, "tcp", p.addr.String())
 	if err != nil {
 		p.account.CloseOutgoing()
 		return nil, err
 	}
 	source := &boundedSource{source: opened}
-	c = &conn{Conn: opened, account: p.account, source: source, reader: bufio.NewReaderSize(source, readBuffer), idleTimeout: idleTimeout}
-	if c.raw, err = opened.(*net.TCPConn).SyscallConn(); err != nil {
-		_ = c.Close()
-		return nil, err
-	}
+	c = &conn{Conn: opened, raw: opened.raw, account: p.account, source: source, reader: bufio.NewReaderSize(source, readBuffer), idleTimeout: idleTimeout}
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
--- a/internal/mesh/link/transport.go
+++ b/internal/mesh/link/transport.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,8 +11,47 @@
 )
 
 // Transport is an http.RoundTripper that rejects broken answers. net/http believes any three digits to
-// be a status, and a name that holds blanks to be that of a field.
-type Transport struct{ Base *http.Transport }
+// be a status, a name that holds blanks to be that of a field, and any end of file to be the end of a body.
+type Transport struct {
+	// base opens connections with strictConn as the innermost layer.
+	base *http.Transport
+}
+
+// TransportOption configures a Transport that NewTransport creates.
+type TransportOption func(*Transport)
+
+// WithConn wraps each connection of the transport with wrap, outside the wrappers of earlier options.
+func WithConn(wrap func(c net.Conn) (wrapped net.Conn)) TransportOption {
+	return func(t *Transport) {
+		dial := t.base.DialContext
+		t.base.DialContext = func(ctx context.Context, network, address string) (c net.Conn, err error) {
+			if c, err = dial(ctx, network, address); err != nil {
+				return nil, err
+			}
+			return wrap(c), nil
+		}
+	}
+}
+
+// NewTransport returns a transport that sends requests with base, which it owns from then on.
+func NewTransport(base *http.Transport, options ...TransportOption) (t *Transport) {
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (c net.Conn, err error) {
+		strict, err := dialStrict(ctx, dial, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return strict, nil
+	}
+	t = &Transport{base: base}
+	for _, o := range options {
+		o(t)
+	}
+	return t
+}
 
 // RoundTrip implements http.RoundTripper. The connection of a broken answer is closed: what follows on
 // it may be the rest of that answer.
@@ -20,7 +60,7 @@
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { c = info.Conn },
 	})
-	response, err = t.Base.RoundTrip(request.WithContext(ctx))
+	response, err = t.base.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
@@ -32,8 +72,8 @@
 	return response, nil
 }
 
-// CloseIdleConnections closes the idle connections of Base.
-func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
+// CloseIdleConnections closes the idle connections.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
 // checkResponse checks the status and the names of the fields of a final answer.
 func checkResponse(r *http.Response) (err error) {
--- a/internal/mesh/node/broken_test.go
+++ b/internal/mesh/node/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -72,6 +73,69 @@
 	}
 }
 
+// TestResetDuringUpload guards against a part of an answer that a caller gets as all of it, buffered or
+// forwarded while it arrives, and against an upload that is sent again.
+func TestResetDuringUpload(t *testing.T) {
+	for _, size := range []int{0, 8 << 10, 2 << 20} {
+		for _, pause := range []time.Duration{0, 3 * time.Millisecond, 60 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d bytes/%v", size, pause), func(t *testing.T) {
+				target := broken.NewUploadServer(t, broken.Upload{
+					Head: func(r *http.Request) (text string) {
+						return "HTTP/1.1 200 OK\r\n" + header.RequestID + ": " + r.Header.Get(header.RequestID) + "\r\n"
+					},
+					Size: size, Pause: pause, End: broken.Reset,
+				})
+				got := newNodeFixture(t, target.Addr).send(http.MethodPost, "/ledger/upload", make([]byte, uploadBytes))
+				if got.failure == nil && (got.outcome != header.Unknown || got.code != header.AnswerLost) {
+					t.Errorf("got %d bytes with the outcome %q (%s), want an answer that breaks off or %s, %s", len(got.body), got.outcome, got.code, header.Unknown, header.AnswerLost)
+				}
+				if got, want := target.Requests.Load(), int64(1); got != want {
+					t.Errorf("got %d requests at the target, want %d", got, want)
+				}
+			})
+		}
+	}
+}
+
+// uploadBytes is the size of an upload that does not fit into the buffers of its connection.
+const uploadBytes = 16 << 20
+
+// TestResetOfNode guards against a part of another node's answer that is taken for all of it.
+func TestResetOfNode(t *testing.T) {
+	signer, err := wire.NewSigner(testSecret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	configs := &configDuty{}
+	configs.view.Store(&config.View{Version: 1})
+	for _, size := range []int{0, 8 << 10, 2 << 20} {
+		t.Run(fmt.Sprintf("%d bytes", size), func(t *testing.T) {
+			call := newTestCall(5 * time.Second)
+			peer := broken.NewUploadServer(t, broken.Upload{
+				Head: func(*http.Request) (text string) {
+					return "HTTP/1.1 200 OK\r\n" + header.Outcome + ": ran\r\n" + header.RequestID + ": " + call.ID.String() + "\r\n"
+				},
+				Size: size, Pause: 3 * time.Millisecond, End: broken.Reset,
+			})
+			client := &peerClient{transport: newTransport(0), signer: signer, config: configs}
+			for range 5 {
+				answer, _, refusal := client.SendCall(t.Context(), mesh.Endpoint{Host: peer.Addr}, call, &mesh.Payload{Method: http.MethodPost, Path: "/pay", Header: http.Header{}, Body: make([]byte, uploadBytes)})
+				if refusal != nil {
+					if refusal.Outcome != header.Unknown || refusal.Code != header.AnswerLost {
+						t.Errorf("got %v, want %s, %s", refusal, header.Unknown, header.AnswerLost)
+					}
+					continue
+				}
+				got, err := io.ReadAll(answer.Body)
+				_ = answer.Body.Close()
+				if err == nil {
+					t.Errorf("got status %d and %d bytes, want an error", answer.Status, len(got))
+				}
+			}
+		})
+	}
+}
+
 // TestBrokenAnswersOfNodes guards against a broken answer of another node that is believed.
 func TestBrokenAnswersOfNodes(t *testing.T) {
 	signer, err := wire.NewSigner(testSecret)
--- a/internal/mesh/node/config_test.go
+++ b/internal/mesh/node/config_test.go
@@ -18,6 +18,7 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/admin"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/config"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/parse"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/stub"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/wire"
@@ -185,11 +186,7 @@
 	bytes = new(atomic.Int64)
 	server := httptest.NewServer(signer.Verify(wire.NewConfigServer(d)))
 	b.Cleanup(server.Close)
-	transport := newTransport(0)
-	transport.Base.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
-		conn, err = new(net.Dialer).DialContext(ctx, network, address)
-		return measuredConn{conn, bytes}, err
-	}
+	transport := newTransport(0, link.WithConn(func(c net.Conn) (measured net.Conn) { return measuredConn{c, bytes} }))
 	return d, wire.NewConfigProtobufClient(server.URL, &http.Client{Transport: &wire.Transport{Signer: signer, Base: transport}}), bytes
 }
 
--- a/internal/mesh/node/count.go
+++ b/internal/mesh/node/count.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"expvar"
 	"net"
 
@@ -56,14 +55,5 @@
 
 // controlTransport returns a transport for control messages that counts their bytes.
 func (p peerBytes) controlTransport() (t *link.Transport) {
-	t = newTransport(0)
-	dial := t.Base.DialContext
-	t.Base.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
-		conn, err = dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &meteredConn{Conn: conn, counts: p}, nil
-	}
-	return t
+	return newTransport(0, link.WithConn(func(c net.Conn) (metered net.Conn) { return &meteredConn{Conn: c, counts: p} }))
 }
--- a/internal/mesh/node/exchange.go
+++ b/internal/mesh/node/exchange.go
@@ -70,24 +70,19 @@
 	return c.Conn.Write(data)
 }
 
-// newTransport returns a transport whose connections are countingConns.
-func newTransport(maxConnections int) (t *link.Transport) {
+// newTransport returns a transport whose connections are countingConns, in the wrappers of the options.
+func newTransport(maxConnections int, options ...link.TransportOption) (t *link.Transport) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &link.Transport{Base: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (conn net.Conn, err error) {
-			conn, err = dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: conn}, nil
-		},
+	count := link.WithConn(func(c net.Conn) (counting net.Conn) { return &countingConn{Conn: c} })
+	return link.NewTransport(&http.Transport{
+		DialContext:         dialer.DialContext,
 		DisableCompression:  true,
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}, append([]link.TransportOption{count}, options...)...)
 }
 
 // singleUseBody is a body that net/http cannot rewind. With a body that it can
--- a/internal/mesh/node/outcome_test.go
+++ b/internal/mesh/node/outcome_test.go
@@ -43,6 +43,7 @@
       pay: {path: /pay}
       single: {path: /single, settings: {retries: 0}}
       read: {path: /read, settings: {idempotent: true}}
+      upload: {path: /upload, settings: {max-body: 33554432}}
 organisations: {org: {}}
 `
 )
--- a/internal/mesh/store/store.go
+++ b/internal/mesh/store/store.go
@@ -42,7 +42,7 @@
 		o(c)
 	}
 	c.client = &http.Client{
-		Transport: &link.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		Transport: link.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}),
 		// The platform redirects nobody.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
