accept: a cut answer looks cut to an HTTP/1.0 caller

Callers saw: an answer without a length that broke off after its head had been passed on was complete to an HTTP/1.0 caller. The same happened when the connection made room for others or the server was closed.

Cause: HTTP/1.0 has no chunks, so net/http ends such an answer by closing its connection, and closes it in the same way when the handler aborts. Both ends are a FIN. Callers of HTTP/1.1 and other nodes get chunks or a length, and notice a missing rest.

Change: accept.WriteAnswer writes the answers of both fronts.

--- a/internal/mesh/accept/bounds_test.go
+++ b/internal/mesh/accept/bounds_test.go
@@ -271,7 +271,7 @@
 			if TakeHead(r) != nil {
 				b.Error("got a refusal, want none")
 			}
-			BeginAnswer(r)
+			beginAnswer(r)
 			w.WriteHeader(http.StatusNoContent)
 		})
 		return ServeBounded(s, l, WithAccount(a, memory.Callers))
--- a/internal/mesh/accept/serve.go
+++ b/internal/mesh/accept/serve.go
@@ -182,9 +182,6 @@
 	return refusal
 }
 
-// BeginAnswer notes that the answer to a request begins.
-func BeginAnswer(r *http.Request) { Holder(r).Enter(memory.Answer, time.Now()) }
-
 // Arrived returns when the last byte of the head of a request arrived. When other requests came
 // before it on its connection, that is long before its handler runs.
 func Arrived(r *http.Request) (at time.Time) {
--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/textproto"
@@ -296,9 +295,7 @@
 	if a.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
-	accept.BeginAnswer(c.Request())
-	c.Response().WriteHeader(a.Status)
-	if _, err := io.Copy(c.Response(), a.Body); err != nil {
+	if err := accept.WriteAnswer(c.Response(), c.Request(), a.Status, a.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	return nil
--- a/internal/mesh/node/broken_test.go
+++ b/internal/mesh/node/broken_test.go
@@ -100,6 +100,30 @@
 // uploadBytes is the size of an upload that does not fit into the buffers of its connection.
 const uploadBytes = 16 << 20
 
+// TestAnswerOverHTTP10 guards against a part of an answer that an HTTP/1.0 caller takes for all of it, since
+// its connection ends in the same way behind both.
+func TestAnswerOverHTTP10(t *testing.T) {
+	const size = 2 << 20
+	for name, end := range map[string]broken.End{"cut": broken.Reset, "whole": broken.Close} {
+		t.Run(name, func(t *testing.T) {
+			target := broken.NewUploadServer(t, broken.Upload{
+				Head: func(r *http.Request) (text string) {
+					return "HTTP/1.1 200 OK\r\n" + header.RequestID + ": " + r.Header.Get(header.RequestID) + "\r\n"
+				},
+				Size: size, Pause: 60 * time.Millisecond, End: end, Whole: true,
+			})
+			n := newNodeFixture(t, target.Addr)
+			answer, got, err := broken.SendHTTP10(n.settings.CallerListen, http.MethodPost, "/ledger/pay", http.Header{"Authorization": {"Bearer key"}}, []byte("body"))
+			switch {
+			case end == broken.Close && (err != nil || answer.StatusCode != http.StatusOK || len(got) != size):
+				t.Errorf("got %d bytes (%v), want all %d bytes", len(got), err, size)
+			case end == broken.Reset && err == nil && answer.StatusCode == http.StatusOK:
+				t.Errorf("got %d bytes as a whole answer, want an error", len(got))
+			}
+		})
+	}
+}
+
 // TestResetOfNode guards against a part of another node's answer that is taken for all of it.
 func TestResetOfNode(t *testing.T) {
 	signer, err := wire.NewSigner(testSecret)
--- a/internal/mesh/node/front.go
+++ b/internal/mesh/node/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/textproto"
 	"slices"
@@ -153,8 +152,7 @@
 		h[name] = values
 	}
 	h.Set(header.Outcome, string(header.Ran))
-	c.Response().WriteHeader(a.Status)
-	if _, err := io.Copy(c.Response(), a.Body); err != nil {
+	if err := accept.WriteAnswer(c.Response(), c.Request(), a.Status, a.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	return nil
