agent: log answers that break off behind their head

Callers saw a broken body, and the log held no line of its request: only refusals, failed attempts and answers of 500 or more are logged. The front now logs how much was passed on and why the rest is missing, unless the caller has left.

--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -237,7 +237,7 @@
 	if refusal != nil {
 		return rh.writeRefusal(c, refusal)
 	}
-	return rh.writeAnswer(c, answer)
+	return rh.writeAnswer(c, call, answer)
 }
 
 // logAttempt logs a failed attempt together with the target that was chosen.
@@ -286,7 +286,7 @@
 
 // writeAnswer forwards a target's answer. When the answer breaks off, it closes the
 // connection, so that the caller cannot mistake a truncated answer for a complete one.
-func (rh *requestHandler) writeAnswer(c echo.Context, a *mesh.Answer) (err error) {
+func (rh *requestHandler) writeAnswer(c echo.Context, call *mesh.Call, a *mesh.Answer) (err error) {
 	defer a.Body.Close()
 	h := c.Response().Header()
 	for name, values := range forwardedHeaders(http.Header(a.Header)) {
@@ -296,6 +296,12 @@
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	if err := accept.WriteAnswer(c.Response(), c.Request(), a.Status, a.Body); err != nil {
+		if c.Request().Context().Err() == nil { // A caller that has left needs no answer.
+			rh.log.InfoFields("the answer broke off", logs.Fields{
+				"request": call.CallerRequestID, "service": call.TargetService(), "outcome": header.Ran, "status": a.Status,
+				"bytes": c.Response().Size, "reason": err.Error(),
+			})
+		}
 		panic(http.ErrAbortHandler)
 	}
 	return nil
--- a/internal/mesh/agent/serve.go
+++ b/internal/mesh/agent/serve.go
@@ -66,7 +66,7 @@
 	if answer.Room != nil {
 		h.Set(header.Room, formatRoom(answer.Room))
 	}
-	return rh.writeAnswer(c, answer)
+	return rh.writeAnswer(c, call, answer)
 }
 
 // logStopped logs a call whose sender closed the connection. The sender's log does not say
