--- a/internal/mesh/broken/caller.go
+++ b/internal/mesh/broken/caller.go
@@ -11,12 +11,16 @@
 	"time"
 )
 
-// callerTimeout bounds what an HTTP/1.0 caller waits for its answer.
+// callerTimeout is how long a caller waits for its answer.
 const callerTimeout = 10 * time.Second
 
-// SendHTTP10 sends a request over HTTP/1.0, where an answer without a length ends with its connection.
-// An error means that no answer came, or that the caller sees that the answer was cut.
-func SendHTTP10(addr netip.AddrPort, method, path string, header http.Header, body []byte) (answer *http.Response, got []byte, err error) {
+// Protocols are the versions of HTTP that callers use. With the first, an answer without a length ends
+// with its connection.
+var Protocols = []string{"HTTP/1.0", "HTTP/1.1"}
+
+// Send sends a request on a connection of its own. An error means that no answer came, or that the caller
+// sees that the answer was cut.
+func Send(addr netip.AddrPort, protocol, method, path string, header http.Header, body []byte) (answer *http.Response, got []byte, err error) {
 	c, err := net.Dial("tcp", addr.String())
 	if err != nil {
 		return nil, nil, err
@@ -26,7 +30,7 @@
 		return nil, nil, err
 	}
 	var text bytes.Buffer
-	fmt.Fprintf(&text, "%s %s HTTP/1.0\r\nContent-Length: %d\r\n", method, path, len(body))
+	fmt.Fprintf(&text, "%s %s %s\r\nContent-Length: %d\r\n", method, path, protocol, len(body))
 	if err := header.Write(&text); err != nil {
 		return nil, nil, err
 	}
