--- a/internal/mesh/broken/broken.go
+++ b/internal/mesh/broken/broken.go
@@ -64,28 +64,35 @@
 
 // NewServer starts a server on the loopback interface that sends the text, until the test ends.
 func NewServer(tb testing.TB, text string) (s *Server) {
+	tb.Helper()
+	s = &Server{text: text}
+	s.Addr = listen(tb, s.serve)
+	return s
+}
+
+// listen accepts connections on the loopback interface until the test ends, and serves each with serve.
+func listen(tb testing.TB, serve func(c *net.TCPConn)) (addr netip.AddrPort) {
 	tb.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
 	}
 	tb.Cleanup(func() { _ = listener.Close() })
-	s = &Server{Addr: netip.MustParseAddrPort(listener.Addr().String()), text: text}
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			s.Connections.Add(1)
-			go s.serve(c)
+			go serve(c.(*net.TCPConn))
 		}
 	}()
-	return s
+	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-func (s *Server) serve(c net.Conn) {
+func (s *Server) serve(c *net.TCPConn) {
 	defer c.Close()
+	s.Connections.Add(1)
 	for reader := bufio.NewReader(c); ; {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
--- a/internal/mesh/broken/upload.go
+++ b/internal/mesh/broken/upload.go
@@ -61,36 +61,24 @@
 
 	// Requests is the number of requests that came so far.
 	Requests atomic.Int64
-	upload   Upload
+
+	upload Upload
+
+	// done is closed when the test ends.
+	done chan struct{}
 }
 
 // NewUploadServer starts a server on the loopback interface that answers in the way of u, until the test
 // ends.
 func NewUploadServer(tb testing.TB, u Upload) (s *UploadServer) {
 	tb.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	done := make(chan struct{})
-	tb.Cleanup(func() {
-		close(done)
-		_ = listener.Close()
-	})
-	s = &UploadServer{Addr: netip.MustParseAddrPort(listener.Addr().String()), upload: u}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c.(*net.TCPConn), done)
-		}
-	}()
+	s = &UploadServer{upload: u, done: make(chan struct{})}
+	tb.Cleanup(func() { close(s.done) })
+	s.Addr = listen(tb, s.serve)
 	return s
 }
 
-func (s *UploadServer) serve(c *net.TCPConn, done <-chan struct{}) {
+func (s *UploadServer) serve(c *net.TCPConn) {
 	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
@@ -117,7 +105,7 @@
 		_ = c.SetLinger(0)
 	case Finish:
 		_ = c.CloseWrite()
-		<-done
+		<-s.done
 	case FinishThenReset:
 		_ = c.CloseWrite()
 		awaitAcknowledgement(c)
