rules, platform: the era of the store goes before its version

Cause: rules.Merge takes the zones and orders of a state of the store only if its version is higher. Versions had gone back from 7 to 4. The logs of all five nodes show the full read after the 410 and no change behind it.

Change: a state of the store is (era, number), named by the store in each answer and decoded in platform/; it is compared so in Merge, in beats, in fetches between nodes and in the revisions of roll-outs. Zones out and orders of the earlier era that the store lacks stay in force for 60 s or until they are written again, since a version that counts again would otherwise put a zone whose row was lost back into service.

The format of beats changes: hosts of earlier builds do not understand them.

--- a/internal/mesh/agent/fetch.go
+++ b/internal/mesh/agent/fetch.go
@@ -16,6 +16,7 @@
 	"github.com/quetzalstack/quetzalstack/internal/mesh/link"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/logs"
 	"github.com/quetzalstack/quetzalstack/internal/mesh/ring"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/rules"
 )
 
 const (
@@ -56,10 +57,13 @@
 // Name implements mesh.Duty.
 func (d *fetchDuty) Name() string { return "fetch" }
 
-// newerConfig is sent when another node has newer configuration than this node.
+// newerConfig is sent when another node has newer configuration than this node, or carries settings
+// that this node does not know.
 type newerConfig struct {
-	from               netip.AddrPort
-	rulesVersion, asOf uint64
+	from         netip.AddrPort
+	rulesVersion uint64
+	asOf         mesh.StoreVersion
+	carries      bool
 }
 
 // EventName implements mesh.Event.
@@ -97,17 +101,35 @@
 // upToDate reports whether this node's configuration is at least as new as in the notice.
 func (d *fetchDuty) upToDate(notice newerConfig) bool {
 	own := d.follow.view.Load()
-	return own != nil && own.Rules != nil && own.Rules.Version >= notice.rulesVersion && own.AsOf >= notice.asOf
+	return own != nil && own.Rules != nil && own.Rules.Version >= notice.rulesVersion && !notice.asOf.After(own.AsOf) && !own.lacksCarried(notice)
+}
+
+// lacksCarried reports whether this node has started since the store came back from a copy and does
+// not know the settings that the other node carries.
+func (c *activeConfig) lacksCarried(notice newerConfig) bool {
+	return notice.carries && notice.asOf.Era == c.AsOf.Era && c.Carried.Until.IsZero()
 }
 
 // configMessage is a configuration in the encoding between nodes.
 type configMessage struct {
+	Era       uint64   `cbor:"era"`
 	AsOf      uint64   `cbor:"as-of"`
 	RulesText []byte   `cbor:"text"`
 	ZonesOut  []string `cbor:"zones-out"`
 
 	// Orders is nil in the message of an earlier build, which does not know orders.
 	Orders []orderMessage `cbor:"orders"`
+
+	// Carried is nil in the message of a node that carries no settings.
+	Carried *carriedMessage `cbor:"carried,omitempty"`
+}
+
+// carriedMessage holds carried settings in the encoding between nodes. The clocks of hosts differ, so
+// it has the time that is left.
+type carriedMessage struct {
+	Left     time.Duration  `cbor:"left"`
+	ZonesOut []string       `cbor:"zones-out"`
+	Orders   []orderMessage `cbor:"orders"`
 }
 
 // orderMessage is an order for a roll-out in the encoding between nodes.
@@ -115,13 +137,51 @@
 	Service  string        `cbor:"service"`
 	To       string        `cbor:"to"`
 	Limit    time.Duration `cbor:"limit"`
+	Era      uint64        `cbor:"era"`
 	Revision uint64        `cbor:"revision"`
 }
 
+func encodeConfig(now time.Time, c *mesh.FleetConfig) (m *configMessage) {
+	m = &configMessage{
+		Era: c.AsOf.Era, AsOf: c.AsOf.Number, RulesText: c.RulesText, ZonesOut: encodeZones(c.ZonesOut), Orders: encodeOrders(c.Orders),
+	}
+	if !c.Carried.Until.IsZero() {
+		m.Carried = &carriedMessage{Left: c.Carried.Until.Sub(now), ZonesOut: encodeZones(c.Carried.ZonesOut), Orders: encodeOrders(c.Carried.Orders)}
+	}
+	return m
+}
+
+// decode returns the configuration without the rules. The orders are known where the sender does not
+// know orders.
+func (m *configMessage) decode(now time.Time, known []mesh.RolloutOrder) (c mesh.FleetConfig) {
+	c = mesh.FleetConfig{
+		AsOf: mesh.StoreVersion{Era: m.Era, Number: m.AsOf}, RulesText: m.RulesText, ZonesOut: decodeZones(m.ZonesOut), Orders: decodeOrders(m.Orders, known),
+	}
+	if m.Carried != nil {
+		left := min(m.Carried.Left, rules.CarryTime)
+		c.Carried = mesh.Carried{Until: now.Add(left), ZonesOut: decodeZones(m.Carried.ZonesOut), Orders: decodeOrders(m.Carried.Orders, nil)}
+	}
+	return c
+}
+
+func encodeZones(zones []mesh.ZoneName) (names []string) {
+	for _, z := range zones {
+		names = append(names, string(z))
+	}
+	return names
+}
+
+func decodeZones(names []string) (zones []mesh.ZoneName) {
+	for _, z := range names {
+		zones = append(zones, mesh.ZoneName(z))
+	}
+	return zones
+}
+
 func encodeOrders(orders []mesh.RolloutOrder) (messages []orderMessage) {
 	messages = make([]orderMessage, 0, len(orders))
 	for _, o := range orders {
-		messages = append(messages, orderMessage{Service: string(o.Service), To: string(o.To), Limit: o.Limit, Revision: o.Revision})
+		messages = append(messages, orderMessage{Service: string(o.Service), To: string(o.To), Limit: o.Limit, Era: o.Revision.Era, Revision: o.Revision.Number})
 	}
 	return messages
 }
@@ -133,7 +193,7 @@
 	}
 	for _, o := range messages {
 		orders = append(orders, mesh.RolloutOrder{
-			Service: mesh.ServiceName(o.Service), To: mesh.VersionName(o.To), Limit: o.Limit, Revision: o.Revision,
+			Service: mesh.ServiceName(o.Service), To: mesh.VersionName(o.To), Limit: o.Limit, Revision: mesh.StoreVersion{Era: o.Era, Number: o.Revision},
 		})
 	}
 	return orders
@@ -165,15 +225,11 @@
 	if err := cbor.Unmarshal(data, &message); err != nil {
 		return config, err
 	}
-	config = mesh.FleetConfig{AsOf: message.AsOf, RulesText: message.RulesText}
 	var known []mesh.RolloutOrder
 	if own := d.follow.view.Load(); own != nil {
 		known = own.Orders
 	}
-	config.Orders = decodeOrders(message.Orders, known)
-	for _, z := range message.ZonesOut {
-		config.ZonesOut = append(config.ZonesOut, mesh.ZoneName(z))
-	}
+	config = message.decode(time.Now(), known)
 	config.Rules, err = d.source.Parse(message.RulesText)
 	return config, err
 }
@@ -184,11 +240,7 @@
 	if own == nil {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
-	message := configMessage{AsOf: own.AsOf, RulesText: own.RulesText, Orders: encodeOrders(own.Orders)}
-	for _, z := range own.ZonesOut {
-		message.ZonesOut = append(message.ZonesOut, string(z))
-	}
-	data, err := cbor.Marshal(message)
+	data, err := cbor.Marshal(encodeConfig(time.Now(), &own.FleetConfig))
 	if err != nil {
 		return err
 	}
--- a/internal/mesh/agent/follow.go
+++ b/internal/mesh/agent/follow.go
@@ -45,10 +45,20 @@
 	mesh.FleetConfig
 	index *rules.Index
 
-	// digest is a digest of the zones that are out of service and of the orders for roll-outs.
+	// digest is a digest of the rules, of the zones that are out of service and of the orders for
+	// roll-outs.
 	digest uint64
 }
 
+// isOlder reports whether another node, whose configuration has the digest, knows what this
+// configuration lacks. A later era counts in any case, since each host has to notice it.
+func (c *activeConfig) isOlder(notice newerConfig, digest uint64) bool {
+	if c.Rules == nil && notice.rulesVersion > 0 || c.Rules != nil && notice.rulesVersion > c.Rules.Version {
+		return true
+	}
+	return notice.asOf.Era > c.AsOf.Era || notice.asOf.After(c.AsOf) && digest != c.digest || c.lacksCarried(notice)
+}
+
 // followDuty owns the configuration in force. When its ring is full, senders block: neither of
 // them has other work.
 type followDuty struct {
@@ -56,6 +66,9 @@
 	view   atomic.Pointer[activeConfig]
 	log    logs.Log
 
+	// expiry fires when the carried settings end.
+	expiry *time.Timer
+
 	// These duties are notified when the configuration changes.
 	member   *memberDuty
 	quota    *quotaDuty
@@ -65,13 +78,22 @@
 }
 
 func newFollowDuty(vars *expvar.Map, log logs.Log) (d *followDuty) {
-	d = &followDuty{events: ring.New(vars, "follow", followRing), log: log}
+	d = &followDuty{events: ring.New(vars, "follow", followRing), log: log, expiry: time.NewTimer(0)}
+	d.expiry.Stop()
 	vars.Set("rules-version", expvar.Func(func() any {
 		if v := d.view.Load(); v != nil && v.Rules != nil {
 			return v.Rules.Version
 		}
 		return 0
 	}))
+	vars.Set("store-era", expvar.Func(func() any { return d.asOf().Era }))
+	vars.Set("store-version", expvar.Func(func() any { return d.asOf().Number }))
+	vars.Set("carried-settings", expvar.Func(func() any {
+		if v := d.view.Load(); v != nil {
+			return len(v.Carried.ZonesOut) + len(v.Carried.Orders)
+		}
+		return 0
+	}))
 	return d
 }
 
@@ -99,41 +121,76 @@
 	return v
 }
 
+// asOf returns the state of the store that the configuration in force comes from.
+func (d *followDuty) asOf() (v mesh.StoreVersion) {
+	if c := d.view.Load(); c != nil {
+		return c.AsOf
+	}
+	return v
+}
+
 // Run implements mesh.Duty.
 func (d *followDuty) Run(ctx context.Context) (err error) {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-d.expiry.C:
+			d.expire(ctx, time.Now())
 		case e := <-d.events.Events():
 			received := e.(configReceived)
-			d.apply(ctx, received)
+			d.apply(ctx, time.Now(), received)
 		}
 	}
 }
 
-func (d *followDuty) apply(ctx context.Context, received configReceived) {
+func (d *followDuty) apply(ctx context.Context, now time.Time, received configReceived) {
 	current := d.view.Load()
 	if current == nil {
 		current = new(activeConfig)
 	}
-	merged, changed := rules.Merge(current.FleetConfig, received.config)
+	merged, changed := rules.Merge(now, current.FleetConfig, received.config)
 	next := &activeConfig{FleetConfig: merged, index: current.index, digest: current.digest}
-	if !changed && current.index != nil {
+	newEra := merged.AsOf.Era != current.AsOf.Era
+	if !changed && !newEra && current.index != nil {
 		d.view.Store(next)
 		return
 	}
-	if merged.Rules != nil && (current.index == nil || merged.Rules != current.index.Rules) {
-		next.index = rules.NewIndex(merged.Rules)
+	d.activate(ctx, next, received.from)
+	if merged.Carried.Pending() {
+		d.expiry.Reset(merged.Carried.Until.Sub(now))
+	}
+	if newEra && current.AsOf != (mesh.StoreVersion{}) {
+		d.log.Warnf("the store has come back from an older copy: it was at state %v and is at %v. It lacks the zones out %v and %d orders for roll-outs, which stay in force for %v unless they are written again.",
+			current.AsOf, merged.AsOf, merged.Carried.ZonesOut, len(merged.Carried.Orders), rules.CarryTime)
+	}
+}
+
+// expire ends the carried settings that operators have not written again.
+func (d *followDuty) expire(ctx context.Context, now time.Time) {
+	current := d.view.Load()
+	config, changed := rules.Expire(now, current.FleetConfig)
+	if !changed {
+		return
+	}
+	d.log.Warnf("the zones out %v and %d orders for roll-outs, which the store has lost, end: they were not written again.",
+		current.Carried.ZonesOut, len(current.Carried.Orders))
+	d.activate(ctx, &activeConfig{FleetConfig: config, index: current.index}, "expiry")
+}
+
+// activate puts a configuration into force.
+func (d *followDuty) activate(ctx context.Context, next *activeConfig, from string) {
+	if next.Rules != nil && (next.index == nil || next.Rules != next.index.Rules) {
+		next.index = rules.NewIndex(next.Rules)
 	}
-	next.digest = digestZones(merged.ZonesOut) + digestOrders(merged.Orders)
+	next.digest = digestZones(next.ZonesOut) + digestOrders(next.Orders) + xxhash.Sum64(next.RulesText)
 	d.view.Store(next)
-	fields := logs.Fields{"as-of": merged.AsOf, "zones-out": merged.ZonesOut, "rollout-orders": len(merged.Orders), "from": received.from}
-	if merged.Rules != nil {
-		fields["rules-version"] = merged.Rules.Version
+	fields := logs.Fields{"as-of": next.AsOf.String(), "zones-out": next.ZonesOut, "rollout-orders": len(next.Orders), "from": from}
+	if next.Rules != nil {
+		fields["rules-version"] = next.Rules.Version
 	}
 	d.log.InfoFields("new orders are in force", fields)
-	_ = d.member.events.Send(ctx, configChanged{activeConfig: next, fromStore: received.from == fromStore})
+	_ = d.member.events.Send(ctx, configChanged{activeConfig: next, fromStore: from == fromStore})
 	_ = d.quota.events.Send(ctx, configChanged{activeConfig: next})
 	_ = d.gate.events.Send(ctx, configChanged{activeConfig: next})
 	_ = d.rollouts.events.Send(ctx, configChanged{activeConfig: next})
@@ -155,7 +212,7 @@
 // digest then.
 func digestOrders(orders []mesh.RolloutOrder) (sum uint64) {
 	for _, o := range orders {
-		sum = sum*31 + xxhash.Sum64String(string(o.Service)) + o.Revision
+		sum = sum*31 + xxhash.Sum64String(string(o.Service)) + o.Revision.Era*31 + o.Revision.Number
 	}
 	return sum
 }
@@ -213,12 +270,12 @@
 		next, err := d.next(ctx, last, synced)
 		switch {
 		case errors.Is(err, mesh.ErrHistoryDropped):
-			d.log.Infof("the store has discarded the changes since state %d; reading the full configuration.", last.AsOf)
+			d.log.Infof("the changes since state %v of the store are not known; reading the full configuration.", last.AsOf)
 			synced = false
 			continue
 		case err != nil:
 			if failures == 0 && ctx.Err() == nil {
-				d.log.Warnf("the store is lost; rules of state %d stay in force: %v.", last.AsOf, err)
+				d.log.Warnf("the store is lost; rules of state %v stay in force: %v.", last.AsOf, err)
 			}
 			failures++
 			// No full read is needed: the next read resumes from the last known state, and the
--- a/internal/mesh/agent/front.go
+++ b/internal/mesh/agent/front.go
@@ -272,7 +272,7 @@
 		fields["route"], fields["service"] = call.Route.Name, call.TargetService()
 	}
 	if view := rh.follow.view.Load(); view != nil && view.Rules != nil {
-		fields["rules-version"], fields["as-of"] = view.Rules.Version, view.AsOf
+		fields["rules-version"], fields["as-of"] = view.Rules.Version, view.AsOf.String()
 	}
 	rh.log.InfoFields("request refused", fields)
 }
--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -39,7 +39,10 @@
 )
 
 // versions identifies a configuration.
-type versions struct{ rules, asOf uint64 }
+type versions struct {
+	rules uint64
+	asOf  mesh.StoreVersion
+}
 
 // memberDuty owns this node's view of the fleet membership. When its ring is full, heartbeats are
 // dropped, since the next one is complete, while reports of targets block their sender.
@@ -246,8 +249,8 @@
 	if own == nil {
 		own = new(activeConfig)
 	}
-	newer := own.Rules == nil && b.RulesVersion > 0 || own.Rules != nil && b.RulesVersion > own.Rules.Version
-	if !newer && (b.AsOf <= own.AsOf || b.ZonesOutDigest == own.digest) {
+	notice := newerConfig{from: b.Host.Addr, rulesVersion: b.RulesVersion, asOf: b.AsOf, carries: b.Carries}
+	if !own.isOlder(notice, b.ConfigDigest) {
 		return
 	}
 	known := versions{asOf: own.AsOf}
@@ -258,7 +261,7 @@
 		d.behind, d.behindSince = known, now
 	}
 	if own.Rules == nil || b.Host.Zone == d.state.Self().Zone || now.Sub(d.behindSince) >= crossZoneFetchDelay {
-		d.fetch.events.Offer(newerConfig{from: b.Host.Addr, rulesVersion: b.RulesVersion, asOf: b.AsOf})
+		d.fetch.events.Offer(notice)
 	}
 }
 
@@ -361,7 +364,7 @@
 		Usage: quota.Report{From: self.Addr, Incarnation: self.Incarnation, Usage: d.quota.Usage(ctx)},
 	}
 	if own := d.follow.view.Load(); own != nil {
-		b.AsOf, b.ZonesOutDigest = own.AsOf, own.digest
+		b.AsOf, b.ConfigDigest, b.Carries = own.AsOf, own.digest, own.Carried.Pending()
 		if own.Rules != nil {
 			b.RulesVersion = own.Rules.Version
 		}
--- a/internal/mesh/agent/rollout.go
+++ b/internal/mesh/agent/rollout.go
@@ -323,13 +323,13 @@
 		return
 	}
 	d.config = config
-	ordered := make(map[mesh.ServiceName]uint64, len(config.Orders))
+	ordered := make(map[mesh.ServiceName]mesh.StoreVersion, len(config.Orders))
 	for _, o := range config.Orders {
 		ordered[o.Service] = o.Revision
 		d.follows(now, o)
 	}
 	for service, r := range d.rollouts {
-		if o := r.Order(); config.AsOf >= o.Revision && ordered[service] != o.Revision {
+		if o := r.Order(); !o.Revision.After(config.AsOf) && ordered[service] != o.Revision {
 			r.Withdraw()
 		}
 	}
@@ -344,7 +344,7 @@
 	switch {
 	case r != nil && r.Order().Revision == o.Revision:
 		return r
-	case r != nil && r.Order().Revision > o.Revision:
+	case r != nil && r.Order().Revision.After(o.Revision):
 		return nil
 	}
 	next := &rollout{Controller: canary.New(now, o, d.bounds)}
@@ -354,14 +354,14 @@
 			d.bar(o.Service, r.Order().To)
 		}
 	}
-	if d.config != nil && d.config.AsOf >= o.Revision && !slices.ContainsFunc(d.config.Orders, func(known mesh.RolloutOrder) bool { return known.Revision == o.Revision }) {
+	if d.config != nil && !o.Revision.After(d.config.AsOf) && !slices.ContainsFunc(d.config.Orders, func(known mesh.RolloutOrder) bool { return known.Revision == o.Revision }) {
 		next.Withdraw()
 	}
 	d.unbar(o.Service, o.To)
 	d.rollouts[o.Service] = next
 	d.readAt = time.Time{}
 	d.log.InfoFields("an order for a roll-out was received", logs.Fields{
-		"service": o.Service, "to": o.To, "limit": o.Limit.String(), "revision": o.Revision,
+		"service": o.Service, "to": o.To, "limit": o.Limit.String(), "revision": o.Revision.String(),
 	})
 	return next
 }
--- a/internal/mesh/agent/rollout_test.go
+++ b/internal/mesh/agent/rollout_test.go
@@ -118,7 +118,7 @@
 	h.cancel()
 }
 
-var testOrder = mesh.RolloutOrder{Service: "s", To: "v2", Limit: 12 * time.Second, Revision: 5}
+var testOrder = mesh.RolloutOrder{Service: "s", To: "v2", Limit: 12 * time.Second, Revision: mesh.StoreVersion{Number: 5}}
 
 // newRolloutFleet returns a fleet of three zones, each with two targets of the old version and one
 // of the new.
@@ -238,7 +238,7 @@
 // order lets all hosts hear of the orders.
 func (f *rolloutFleet) order(asOf uint64, orders ...mesh.RolloutOrder) {
 	for _, h := range f.hosts {
-		config := configChanged{activeConfig: &activeConfig{FleetConfig: mesh.FleetConfig{AsOf: asOf, Orders: orders}}}
+		config := configChanged{activeConfig: &activeConfig{FleetConfig: mesh.FleetConfig{AsOf: mesh.StoreVersion{Number: asOf}, Orders: orders}}}
 		_ = h.events.Send(f.t.Context(), config)
 	}
 }
@@ -473,12 +473,12 @@
 		report := func(incarnation mesh.Incarnation) {
 			d.receive(time.Now(), &beat.RolloutReport{From: from, Incarnation: incarnation, Tallies: tallies})
 		}
-		fault := func(incarnation mesh.Incarnation, revision uint64) {
+		fault := func(incarnation mesh.Incarnation, revision mesh.StoreVersion) {
 			d.receiveFault(&beat.Fault{From: from, Incarnation: incarnation, Service: "s", Revision: revision, Reason: "failures"})
 		}
 		report(1)
 		check("no fault", 0)
-		fault(1, testOrder.Revision-1)
+		fault(1, mesh.StoreVersion{Number: testOrder.Revision.Number - 1})
 		check("an earlier order", 0)
 		fault(1, testOrder.Revision)
 		check("this order", 1)
@@ -545,9 +545,9 @@
 // TestOrders guards against an order that is taken back, replaced or impossible and leaves its new
 // version with requests, or the operator without a state.
 func TestOrders(t *testing.T) {
-	later := mesh.RolloutOrder{Service: "s", To: "v3", Limit: 6 * time.Second, Revision: 9}
-	same := mesh.RolloutOrder{Service: "s", To: "v1", Limit: 6 * time.Second, Revision: 5}
-	unknown := mesh.RolloutOrder{Service: "u", To: "v2", Limit: 6 * time.Second, Revision: 5}
+	later := mesh.RolloutOrder{Service: "s", To: "v3", Limit: 6 * time.Second, Revision: mesh.StoreVersion{Number: 9}}
+	same := mesh.RolloutOrder{Service: "s", To: "v1", Limit: 6 * time.Second, Revision: mesh.StoreVersion{Number: 5}}
+	unknown := mesh.RolloutOrder{Service: "u", To: "v2", Limit: 6 * time.Second, Revision: mesh.StoreVersion{Number: 5}}
 	cases := map[string]struct {
 		first mesh.RolloutOrder
 		then  []mesh.RolloutOrder
@@ -626,11 +626,12 @@
 	if got, want := digestOrders(nil), uint64(0); got != want {
 		t.Errorf("got the digest %d without orders, want %d as in an earlier build", got, want)
 	}
-	merged, changed := rules.Merge(mesh.FleetConfig{AsOf: 4}, mesh.FleetConfig{AsOf: 5, Orders: known})
+	before, after := mesh.StoreVersion{Number: 4}, mesh.StoreVersion{Number: 5}
+	merged, changed := rules.Merge(time.Now(), mesh.FleetConfig{AsOf: before}, mesh.FleetConfig{AsOf: after, Orders: known})
 	if !changed || !slices.Equal(merged.Orders, known) {
 		t.Errorf("got %v (changed: %v) after a later state of the store, want %v", merged.Orders, changed, known)
 	}
-	merged, _ = rules.Merge(merged, mesh.FleetConfig{AsOf: 4})
+	merged, _ = rules.Merge(time.Now(), merged, mesh.FleetConfig{AsOf: before})
 	if !slices.Equal(merged.Orders, known) {
 		t.Errorf("got %v after an earlier state of the store, want %v", merged.Orders, known)
 	}
--- a/internal/mesh/agent/rolloutreport.go
+++ b/internal/mesh/agent/rolloutreport.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -53,7 +52,7 @@
 	}
 	for service, r := range d.rollouts {
 		record, s := r.Record(), h.steps[service]
-		if record == nil || s.Revision > record.Order.Revision || s.Revision == record.Order.Revision && s.Step >= record.Step {
+		if record == nil || s.Revision.After(record.Order.Revision) || s.Revision == record.Order.Revision && s.Step >= record.Step {
 			continue
 		}
 		if slices.Contains(d.deciders(service), d.self.Addr) {
@@ -218,7 +217,7 @@
 			}
 			return -1
 		}
-		return cmp.Compare(b.Order().Revision, a.Order().Revision)
+		return b.Order().Revision.Compare(a.Order().Revision)
 	})
 	return rollouts[:min(maxReportedRollouts, len(rollouts))]
 }
--- a/internal/mesh/beat/beat.go
+++ b/internal/mesh/beat/beat.go
@@ -41,12 +41,15 @@
 
 	// AsOf and RulesVersion identify the configuration in force at the host, so that other
 	// hosts notice newer configuration.
-	AsOf         uint64
+	AsOf         mesh.StoreVersion
 	RulesVersion uint64
 
-	// ZonesOutDigest is a digest of the zones that are out of service in that configuration and
-	// of its orders for roll-outs.
-	ZonesOutDigest uint64
+	// ConfigDigest is a digest of the rules in that configuration, of the zones that are out of
+	// service and of the orders for roll-outs.
+	ConfigDigest uint64
+
+	// Carries is true while the host carries settings that the store lacks.
+	Carries bool
 
 	// Relay is true when the receiver relays the heartbeat to the hosts of its own zone.
 	Relay bool
@@ -89,10 +92,12 @@
 	// the newest slots.
 	Usage map[string][]byte
 
-	AsOf      uint64
-	Rules     uint64
-	OutDigest uint64
-	Known     int
+	Era     uint64
+	AsOf    uint64
+	Rules   uint64
+	Digest  uint64
+	Carries bool
+	Known   int
 }
 
 type target struct {
@@ -113,7 +118,8 @@
 func Encode(now time.Time, b *Beat) (data []byte, err error) {
 	m := message{
 		Addr: b.Host.Addr.String(), Zone: string(b.Host.Zone), Incarnation: uint64(b.Host.Incarnation),
-		Revision: b.Host.Revision, State: uint8(b.Host.State), AsOf: b.AsOf, Rules: b.RulesVersion, OutDigest: b.ZonesOutDigest, Known: b.KnownHosts,
+		Revision: b.Host.Revision, State: uint8(b.Host.State), Era: b.AsOf.Era, AsOf: b.AsOf.Number, Rules: b.RulesVersion,
+		Digest: b.ConfigDigest, Carries: b.Carries, Known: b.KnownHosts,
 		Usage: make(map[string][]byte, len(b.Usage.Usage)),
 	}
 	for _, t := range b.Host.Targets {
@@ -163,7 +169,7 @@
 			Revision: m.Revision, State: mesh.HostState(m.State),
 		},
 		Usage: quota.Report{From: addr, Incarnation: mesh.Incarnation(m.Incarnation)},
-		AsOf:  m.AsOf, RulesVersion: m.Rules, ZonesOutDigest: m.OutDigest, KnownHosts: m.Known,
+		AsOf:  mesh.StoreVersion{Era: m.Era, Number: m.AsOf}, RulesVersion: m.Rules, ConfigDigest: m.Digest, Carries: m.Carries, KnownHosts: m.Known,
 		Relay: data[0] == flagRelay,
 	}
 	if b.Host.Targets, err = decodeTargets(now, m.Targets); err != nil {
--- a/internal/mesh/beat/beat_test.go
+++ b/internal/mesh/beat/beat_test.go
@@ -19,7 +19,7 @@
 			Draining: true, ColdUntil: now.Add(time.Second),
 		}}},
 		Usage: quota.Report{From: addr, Incarnation: 7, Usage: map[mesh.OrganisationName]quota.Usage{"o": {Offered: 4, Admitted: 2, Recent: []quota.Slot{{Offered: 1}, {Offered: 2, Admitted: 1}}}}},
-		AsOf:  11, RulesVersion: 5, ZonesOutDigest: 1 << 63, KnownHosts: 13,
+		AsOf:  mesh.StoreVersion{Era: 2, Number: 11}, RulesVersion: 5, ConfigDigest: 1 << 63, Carries: true, KnownHosts: 13,
 	}
 }
 
--- a/internal/mesh/beat/fault.go
+++ b/internal/mesh/beat/fault.go
@@ -22,7 +22,7 @@
 	Service     mesh.ServiceName
 
 	// Revision is that of the order for the roll-out.
-	Revision uint64
+	Revision mesh.StoreVersion
 
 	// Reason says in a sentence what was found; not empty.
 	Reason string
@@ -34,6 +34,7 @@
 	From        string
 	Incarnation uint64
 	Service     string
+	Era         uint64
 	Revision    uint64
 	Reason      string
 }
@@ -42,7 +43,7 @@
 func EncodeFault(f *Fault) (data []byte, err error) {
 	reason := f.Reason[:min(maxFaultReasonBytes, len(f.Reason))]
 	data, err = cbor.Marshal(fault{
-		From: f.From.String(), Incarnation: uint64(f.Incarnation), Service: string(f.Service), Revision: f.Revision,
+		From: f.From.String(), Incarnation: uint64(f.Incarnation), Service: string(f.Service), Era: f.Revision.Era, Revision: f.Revision.Number,
 		// A reason that was cut may end within a character, which the receiver would not decode.
 		Reason: strings.ToValidUTF8(reason, ""),
 	})
@@ -71,6 +72,7 @@
 		return nil, err
 	}
 	return &Fault{
-		From: from, Incarnation: mesh.Incarnation(m.Incarnation), Service: mesh.ServiceName(m.Service), Revision: m.Revision, Reason: m.Reason,
+		From: from, Incarnation: mesh.Incarnation(m.Incarnation), Service: mesh.ServiceName(m.Service),
+		Revision: mesh.StoreVersion{Era: m.Era, Number: m.Revision}, Reason: m.Reason,
 	}, nil
 }
--- a/internal/mesh/beat/fault_test.go
+++ b/internal/mesh/beat/fault_test.go
@@ -9,7 +9,7 @@
 )
 
 func testFault() (f Fault) {
-	return Fault{From: netip.MustParseAddrPort("10.0.0.1:7000"), Incarnation: 3, Service: "s", Revision: 7, Reason: "6 of 20 answers were failures"}
+	return Fault{From: netip.MustParseAddrPort("10.0.0.1:7000"), Incarnation: 3, Service: "s", Revision: mesh.StoreVersion{Era: 2, Number: 7}, Reason: "6 of 20 answers were failures"}
 }
 
 // TestFaultSurvivesEncoding guards against faults that change on the wire, and against ones that name
--- a/internal/mesh/beat/rollout.go
+++ b/internal/mesh/beat/rollout.go
@@ -95,6 +95,7 @@
 
 	Service  string
 	To       string
+	Era      uint64
 	Revision uint64
 
 	// Limit and Elapsed are in nanoseconds.
@@ -129,7 +130,7 @@
 	for i := range r.Rollouts {
 		o := &r.Rollouts[i]
 		m.Rollouts = append(m.Rollouts, rollout{
-			Service: string(o.Order.Service), To: string(o.Order.To), Revision: o.Order.Revision, Limit: int64(o.Order.Limit),
+			Service: string(o.Order.Service), To: string(o.Order.To), Era: o.Order.Revision.Era, Revision: o.Order.Revision.Number, Limit: int64(o.Order.Limit),
 			State: uint8(o.State), Step: o.Step, Share: o.Share, Elapsed: int64(o.Elapsed),
 			// A reason that was cut may end within a character, which the receiver would not decode.
 			Reason: strings.ToValidUTF8(o.Reason, ""),
@@ -185,7 +186,7 @@
 	for _, o := range m.Rollouts {
 		r.Rollouts = append(r.Rollouts, mesh.Rollout{
 			Order: mesh.RolloutOrder{
-				Service: mesh.ServiceName(o.Service), To: mesh.VersionName(o.To), Revision: o.Revision, Limit: time.Duration(o.Limit),
+				Service: mesh.ServiceName(o.Service), To: mesh.VersionName(o.To), Revision: mesh.StoreVersion{Era: o.Era, Number: o.Revision}, Limit: time.Duration(o.Limit),
 			},
 			State: mesh.RolloutState(o.State), Step: o.Step, Share: o.Share, Elapsed: time.Duration(o.Elapsed), Reason: o.Reason,
 		})
--- a/internal/mesh/beat/rollout_test.go
+++ b/internal/mesh/beat/rollout_test.go
@@ -23,7 +23,7 @@
 		Targets: []TargetVersion{{Addr: netip.MustParseAddrPort("10.0.0.1:80"), Name: "i", Service: "ledger", Version: "v2", Running: 3}},
 		Tallies: []mesh.VersionTally{tally, full, {Service: "ledger", Version: "v3"}},
 		Rollouts: []mesh.Rollout{{
-			Order: mesh.RolloutOrder{Service: "ledger", To: "v2", Limit: 12*time.Second + time.Nanosecond, Revision: 412},
+			Order: mesh.RolloutOrder{Service: "ledger", To: "v2", Limit: 12*time.Second + time.Nanosecond, Revision: mesh.StoreVersion{Era: 3, Number: 412}},
 			State: mesh.RolloutRolledBack, Step: 4, Share: 0.05, Elapsed: 3 * time.Second, Reason: "40 of 90 answers were failures",
 		}},
 	}
--- a/internal/mesh/canary/canary.go
+++ b/internal/mesh/canary/canary.go
@@ -104,7 +104,10 @@
 }
 
 // Stage identifies a step of an order.
-type Stage struct{ Revision, Step uint64 }
+type Stage struct {
+	Revision mesh.StoreVersion
+	Step     uint64
+}
 
 // Fleet is what the deciding host knows about the targets of the service.
 type Fleet struct {
@@ -229,6 +232,16 @@
 // Withdraw records that the operator has taken the order back.
 func (c *Controller) Withdraw() { c.withdrawn = true }
 
+// Rename takes over the revision of an order that repeats this one. The progress stays.
+func (c *Controller) Rename(revision mesh.StoreVersion) {
+	c.order.Revision = revision
+	if c.record != nil {
+		renamed := *c.record
+		renamed.Order.Revision = revision
+		c.record = &renamed
+	}
+}
+
 // Adopt takes over the record that is stored, if it supersedes the one in force. A final record
 // never changes.
 func (c *Controller) Adopt(now time.Time, r mesh.Rollout) (adopted bool) {
--- a/internal/mesh/canary/play_test.go
+++ b/internal/mesh/canary/play_test.go
@@ -79,7 +79,7 @@
 func (p *play) run(t *testing.T, seed uint64) (last mesh.Rollout) {
 	t.Helper()
 	p.begin(seed)
-	c := New(p.start, mesh.RolloutOrder{Service: "s", To: newVersion, Limit: p.limit, Revision: 1}, playBounds)
+	c := New(p.start, mesh.RolloutOrder{Service: "s", To: newVersion, Limit: p.limit, Revision: mesh.StoreVersion{Number: 1}}, playBounds)
 	for at := time.Duration(0); at < p.limit+2*time.Second; at += playTick {
 		now := p.start.Add(at)
 		p.requests(at, c.Share(now))
@@ -301,7 +301,7 @@
 // moments, has then seen too little to find it.
 func TestDeciderInDoubt(t *testing.T) {
 	const plays, later = 200, 300 * time.Millisecond
-	order := mesh.RolloutOrder{Service: "s", To: newVersion, Limit: 20 * time.Second, Revision: 1}
+	order := mesh.RolloutOrder{Service: "s", To: newVersion, Limit: 20 * time.Second, Revision: mesh.StoreVersion{Number: 1}}
 	canaryRecord := mesh.Rollout{Order: order, Step: 1, Share: 0.025}
 	doubted := 0
 	for seed := range uint64(plays) {
@@ -351,7 +351,7 @@
 // bad, and against one that is complete although a host still sends it no requests.
 func TestFaultedHosts(t *testing.T) {
 	start := time.Unix(1000, 0)
-	order := mesh.RolloutOrder{Service: "s", To: newVersion, Limit: time.Minute, Revision: 1}
+	order := mesh.RolloutOrder{Service: "s", To: newVersion, Limit: time.Minute, Revision: mesh.StoreVersion{Number: 1}}
 	late := order.Limit + drainLimit
 	cases := []struct {
 		name    string
@@ -388,7 +388,7 @@
 // TestFinalRecord guards against a host that leaves the final state of an order.
 func TestFinalRecord(t *testing.T) {
 	now := time.Unix(1000, 0)
-	order := mesh.RolloutOrder{Service: "s", To: newVersion, Limit: time.Minute, Revision: 1}
+	order := mesh.RolloutOrder{Service: "s", To: newVersion, Limit: time.Minute, Revision: mesh.StoreVersion{Number: 1}}
 	c := New(now, order, playBounds)
 	c.Adopt(now, mesh.Rollout{Order: order, State: mesh.RolloutRolledBack, Step: 4})
 	if c.Adopt(now, mesh.Rollout{Order: order, State: mesh.RolloutRunning, Step: 5, Share: 1}) {
@@ -423,7 +423,7 @@
 // later than it does.
 func TestTimeOfOrder(t *testing.T) {
 	now := time.Unix(1000, 0)
-	order := mesh.RolloutOrder{Service: "s", To: newVersion, Limit: time.Minute, Revision: 1}
+	order := mesh.RolloutOrder{Service: "s", To: newVersion, Limit: time.Minute, Revision: mesh.StoreVersion{Number: 1}}
 	c := New(now, order, playBounds)
 	c.Adopt(now, mesh.Rollout{Order: order, Step: 2, Elapsed: 2 * time.Second})
 	c.Adopt(now.Add(time.Second), mesh.Rollout{Order: order, Step: 2, Elapsed: 6 * time.Second})
--- a/internal/mesh/fleetconfig.go
+++ b/internal/mesh/fleetconfig.go
@@ -66,9 +66,8 @@
 
 // FleetConfig is the configuration that operators have in force for the whole fleet.
 type FleetConfig struct {
-	// AsOf is the version of the store at which the configuration was read. A later
-	// state of the store has a higher value.
-	AsOf uint64
+	// AsOf is the state of the store at which the configuration was read.
+	AsOf StoreVersion
 
 	// Rules is nil until operators have written the first version.
 	Rules *Rules
@@ -82,16 +81,34 @@
 
 	// Orders lists the operators' orders for roll-outs, sorted by service.
 	Orders []RolloutOrder
+
+	// Carried is the part of ZonesOut and Orders that the store lacks since it came back from a
+	// copy.
+	Carried Carried
+}
+
+// Carried holds acknowledged settings of an earlier era that are missing in the store. They stay in
+// force while operators write them again.
+type Carried struct {
+	// Until is the time at which the settings end unless they were written again. It is zero at a
+	// host that knows of no era before that of its configuration.
+	Until time.Time
+
+	// ZonesOut and Orders are sorted like those of the configuration, which include them.
+	ZonesOut []ZoneName
+	Orders   []RolloutOrder
 }
 
+// Pending reports whether there are settings that operators have not written again.
+func (c *Carried) Pending() bool { return len(c.ZonesOut)+len(c.Orders) > 0 }
+
 // ConfigSource is the store from which a node reads and watches the configuration.
 type ConfigSource interface {
 	// Read returns the current configuration.
 	Read(ctx context.Context) (config FleetConfig, err error)
 
 	// Next blocks until the configuration may differ from last, or for the time wait, and
-	// returns it. It fails with ErrHistoryDropped when the changes since last were
-	// discarded. After another failure, the next call uses a new connection: the open ones
+	// returns it. It fails with ErrHistoryDropped when the changes since last are not known. After another failure, the next call uses a new connection: the open ones
 	// may be silent for good.
 	Next(ctx context.Context, last FleetConfig, wait time.Duration) (config FleetConfig, err error)
 
--- a/internal/mesh/rollout.go
+++ b/internal/mesh/rollout.go
@@ -17,8 +17,8 @@
 	// Limit is the time after the order by which the roll-out has to end; above zero.
 	Limit time.Duration
 
-	// Revision identifies the order. A later order for the service has a higher one.
-	Revision uint64
+	// Revision identifies the order. A later order for the service has a later one.
+	Revision StoreVersion
 }
 
 // RolloutState is the state of a roll-out.
@@ -51,6 +51,12 @@
 	return rolloutStateNames[s]
 }
 
+// Repeats reports whether o is a later state's copy of the earlier order: a row that has survived the
+// return of the store from a copy, or that operators have written again since.
+func (o *RolloutOrder) Repeats(earlier *RolloutOrder) bool {
+	return o.Revision.Era > earlier.Revision.Era && o.Service == earlier.Service && o.To == earlier.To && o.Limit == earlier.Limit
+}
+
 // Rollout is the progress of an order that the hosts agree on.
 type Rollout struct {
 	Order RolloutOrder
@@ -73,7 +79,7 @@
 // Supersedes reports whether r replaces the record other of the same service.
 func (r *Rollout) Supersedes(other *Rollout) bool {
 	if r.Order.Revision != other.Order.Revision {
-		return r.Order.Revision > other.Order.Revision
+		return r.Order.Revision.After(other.Order.Revision)
 	}
 	return r.Step > other.Step
 }
--- a/internal/mesh/rules/rules.go
+++ b/internal/mesh/rules/rules.go
@@ -128,17 +128,3 @@
 		return min(mesh.ClassLow, mesh.ClassHigh+route.Class), rank
 	}
 }
-
-// Merge returns the configuration in force after next was received. The version of the
-// rules never decreases; the zones and the orders come from the later state of the store.
-func Merge(current, next mesh.FleetConfig) (merged mesh.FleetConfig, changed bool) {
-	merged = current
-	if next.Rules != nil && (current.Rules == nil || next.Rules.Version > current.Rules.Version) {
-		merged.Rules, merged.RulesText, changed = next.Rules, next.RulesText, true
-	}
-	if next.AsOf > current.AsOf {
-		changed = changed || !slices.Equal(next.ZonesOut, current.ZonesOut) || !slices.Equal(next.Orders, current.Orders)
-		merged.AsOf, merged.ZonesOut, merged.Orders = next.AsOf, next.ZonesOut, next.Orders
-	}
-	return merged, changed
-}
