agent: hosts register again when the store has come back from a copy

Hosts that had registered before the return of the store and hosts that were added afterwards did not know each other, for good, and each group held the whole contract.

Cause: a host writes its row and reads the list once, at its start. The copy lacked the rows of the first three. The logs of the added hosts show lists without them.

Change: a host registers and reads the list once in each era. Registering comes before reading, so of two hosts at least one finds the other.

--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -130,12 +130,13 @@
 		links: link.NewPools(link.WithAccount(a.account)), target: target, account: a.account, deliveries: newDeliveries(), estimator: timing.NewQuantiles(), log: logs.WithPrefix(l, "front"),
 		ending: ending, end: end,
 	}
+	join := newJoinDuty(vars, a.platform.Registry, self, follow, member, logs.WithPrefix(l, "join"))
+	follow.join = join
 	watch := newWatchDuty(vars, a.platform.Source, follow, member, logs.WithPrefix(l, "watch"))
 	member.watch = watch
 	a.duties = []mesh.Duty{
 		follow, member, quotas, gates, rollouts, picker, fetch, probe, measures,
-		watch,
-		&joinDuty{registry: a.platform.Registry, self: self, member: member, log: logs.WithPrefix(l, "join")},
+		watch, join,
 		&receiverDuty{socket: socket, member: member, quota: quotas, rollouts: rollouts, picker: picker, log: logs.WithPrefix(l, "ear")},
 		&guardDuty{account: a.account, log: logs.WithPrefix(l, "guard")},
 	}
--- a/internal/mesh/agent/follow.go
+++ b/internal/mesh/agent/follow.go
@@ -75,6 +75,9 @@
 	gate     *gateDuty
 	rollouts *rolloutDuty
 	probe    *probeDuty
+
+	// join is notified when another era of the store begins.
+	join *joinDuty
 }
 
 func newFollowDuty(vars *expvar.Map, log logs.Log) (d *followDuty) {
@@ -161,8 +164,14 @@
 		d.expiry.Reset(merged.Carried.Until.Sub(now))
 	}
 	if newEra && current.AsOf != (mesh.StoreVersion{}) {
-		d.log.Warnf("the store has come back from an older copy: it was at state %v and is at %v. It lacks the zones out %v and %d orders for roll-outs, which stay in force for %v unless they are written again.",
-			current.AsOf, merged.AsOf, merged.Carried.ZonesOut, len(merged.Carried.Orders), rules.CarryTime)
+		d.log.Warnf("the store has come back from an older copy: it was at state %v and is at %v.", current.AsOf, merged.AsOf)
+		if c := merged.Carried; c.Pending() {
+			d.log.Warnf("the store lacks the zones out %v and %d orders for roll-outs; they stay in force for %v unless they are written again.",
+				c.ZonesOut, len(c.Orders), rules.CarryTime)
+		}
+	}
+	if newEra {
+		d.join.events.Offer(eraBegan{})
 	}
 }
 
--- a/internal/mesh/fleetconfig.go
+++ b/internal/mesh/fleetconfig.go
@@ -119,8 +119,9 @@
 // HostRegistry is the stored list of all hosts that have ever run a node. It holds no
 // liveness information.
 type HostRegistry interface {
-	// Register adds a host unless it is already registered.
-	Register(ctx context.Context, host Host) (err error)
+	// Register adds a host unless it is already registered. It returns the state of the store that
+	// has the host; a store that comes back from an older copy may have lost it.
+	Register(ctx context.Context, host Host) (asOf StoreVersion, err error)
 
 	// Hosts returns all registered hosts.
 	Hosts(ctx context.Context) (hosts []Host, err error)
