platform: a poll that crosses the eras of the store reads everything again

Cause: nodes ask for the changes since their last version. After the return of the store from a copy the withdrawal got just that version, so there was no change to report, and no 410 either since the store had caught up before any node asked again.

After a failed try the first poll does not wait, so that the era shows at once.

--- a/internal/mesh/agent/follow.go
+++ b/internal/mesh/agent/follow.go
@@ -276,7 +276,7 @@
 		if synced {
 			d.awaitTurn(ctx)
 		}
-		next, err := d.next(ctx, last, synced)
+		next, err := d.next(ctx, last, synced, failures)
 		switch {
 		case errors.Is(err, mesh.ErrHistoryDropped):
 			d.log.Infof("the changes since state %v of the store are not known; reading the full configuration.", last.AsOf)
@@ -287,8 +287,8 @@
 				d.log.Warnf("the store is lost; rules of state %v stay in force: %v.", last.AsOf, err)
 			}
 			failures++
-			// No full read is needed: the next read resumes from the last known state, and the
-			// store keeps the history of changes since.
+			// The next read resumes from the last known state: the store keeps the history of
+			// changes since, and shows when it does not have it.
 			sleep(ctx, backoff(failures))
 			continue
 		}
@@ -304,11 +304,14 @@
 	return nil
 }
 
-func (d *watchDuty) next(ctx context.Context, last mesh.FleetConfig, synced bool) (config mesh.FleetConfig, err error) {
-	if synced {
-		if d.member.View().LeadsFollowers {
-			return d.source.Next(ctx, last, leaderWait)
-		}
+func (d *watchDuty) next(ctx context.Context, last mesh.FleetConfig, synced bool, failures int) (config mesh.FleetConfig, err error) {
+	switch {
+	case synced && failures > 0:
+		// A store that was away may have come back in another era, which its first answer shows.
+		return d.source.Next(ctx, last, 0)
+	case synced && d.member.View().LeadsFollowers:
+		return d.source.Next(ctx, last, leaderWait)
+	case synced:
 		return d.source.Next(ctx, last, followerWait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
