agent, platform: roll-outs outlive a return of the store from a copy

Callers: an order that is there in a later era of the store counted as another one, so its roll-out started again; a record that the store had lost was never stored again.

Cause: the revision of an order is the version of its row, and the condition of a record's write a row version, which is given out again in a later era.

Change: an order that repeats the one in force goes on under its revision in the later era. A record takes the place of an earlier one or of none if the store has lost the last, and the deciding host stores it again after a change of the era.

--- a/internal/mesh/agent/rollout.go
+++ b/internal/mesh/agent/rollout.go
@@ -129,6 +129,10 @@
 	writing bool
 	retryAt time.Time
 
+	// rewriteUntil is the time until which the deciding host writes the record again, since the store
+	// may have lost it; zero when it has not.
+	rewriteUntil time.Time
+
 	// faultLogged is true once the fault that this host found has been logged.
 	faultLogged bool
 }
@@ -259,7 +263,7 @@
 // end, and while its own target is of a version that gets no requests.
 func (d *rolloutDuty) active(now time.Time) bool {
 	for service, r := range d.rollouts {
-		if !r.Ended() || now.Sub(r.Since()) < rolloutLinger || d.View().rule(service).settling() {
+		if !r.Ended() || now.Sub(r.Since()) < rolloutLinger || now.Before(r.rewriteUntil) || d.View().rule(service).settling() {
 			return true
 		}
 	}
@@ -322,6 +326,11 @@
 	if d.bounds.Share == 0 || d.store == nil {
 		return
 	}
+	for _, o := range config.Orders {
+		if r := d.rollouts[o.Service]; r != nil {
+			d.rename(now, r, o)
+		}
+	}
 	d.config = config
 	ordered := make(map[mesh.ServiceName]mesh.StoreVersion, len(config.Orders))
 	for _, o := range config.Orders {
@@ -344,6 +353,8 @@
 	switch {
 	case r != nil && r.Order().Revision == o.Revision:
 		return r
+	case r != nil && d.rename(now, r, o):
+		return r
 	case r != nil && r.Order().Revision.After(o.Revision):
 		return nil
 	}
@@ -354,7 +365,8 @@
 			d.bar(o.Service, r.Order().To)
 		}
 	}
-	if d.config != nil && !o.Revision.After(d.config.AsOf) && !slices.ContainsFunc(d.config.Orders, func(known mesh.RolloutOrder) bool { return known.Revision == o.Revision }) {
+	// A host that has started since the store came back may not know yet what the store has lost.
+	if d.config != nil && o.Revision.Era == d.config.AsOf.Era && !o.Revision.After(d.config.AsOf) && !slices.ContainsFunc(d.config.Orders, func(known mesh.RolloutOrder) bool { return known.Revision == o.Revision }) {
 		next.Withdraw()
 	}
 	d.unbar(o.Service, o.To)
@@ -366,6 +378,24 @@
 	return next
 }
 
+// rename lets the roll-out go on under the revision that its order has in a later era of the store. It
+// reports false if o is another order, such as one that operators give after they have withdrawn the
+// first.
+func (d *rolloutDuty) rename(now time.Time, r *rollout, o mesh.RolloutOrder) (renamed bool) {
+	known := r.Order()
+	if !o.Repeats(&known) || d.config == nil || !slices.Contains(d.config.Orders, known) {
+		return false
+	}
+	r.Rename(o.Revision)
+	if r.Record() != nil {
+		r.rewriteUntil = now.Add(rolloutLinger)
+	}
+	d.log.InfoFields("a roll-out goes on in another era of the store", logs.Fields{
+		"service": o.Service, "to": o.To, "before": known.Revision.String(), "revision": o.Revision.String(),
+	})
+	return true
+}
+
 func (d *rolloutDuty) bar(service mesh.ServiceName, version mesh.VersionName) {
 	if !slices.Contains(d.barred[service], version) {
 		d.barred[service] = append(slices.Clone(d.barred[service]), version)
@@ -414,7 +444,7 @@
 			r.faultLogged = true
 			d.log.InfoFields("the new version is bad; this host sends it no more requests", logs.Fields{"service": service, "to": r.Order().To, "reason": r.Fault()})
 		}
-		if !r.Ended() {
+		if !r.Ended() || now.Before(r.rewriteUntil) {
 			d.decide(now, service, r)
 		}
 	}
--- a/internal/mesh/agent/rolloutdecide.go
+++ b/internal/mesh/agent/rolloutdecide.go
@@ -38,7 +38,11 @@
 		return
 	}
 	next, changed := r.Next(now, d.fleet(now, service, r))
-	if !changed {
+	switch {
+	case changed:
+	case now.Before(r.rewriteUntil):
+		next = *r.Record()
+	default:
 		return
 	}
 	last := r.stored
@@ -111,7 +115,7 @@
 		r.retryAt = now.Add(rolloutRetryInterval)
 		return
 	}
-	r.stored, r.retryAt = &e.stored, time.Time{}
+	r.stored, r.retryAt, r.rewriteUntil = &e.stored, time.Time{}, time.Time{}
 	if d.adopt(now, e.stored) {
 		d.publish(now)
 		d.send(now, d.peers())
--- a/internal/mesh/rollout.go
+++ b/internal/mesh/rollout.go
@@ -76,12 +76,16 @@
 	Reason string
 }
 
-// Supersedes reports whether r replaces the record other of the same service.
+// Supersedes reports whether r replaces the record other of the same service. Two hosts may have stored
+// the same step in different eras of the store; a final one counts then.
 func (r *Rollout) Supersedes(other *Rollout) bool {
 	if r.Order.Revision != other.Order.Revision {
 		return r.Order.Revision.After(other.Order.Revision)
 	}
-	return r.Step > other.Step
+	if r.Step != other.Step {
+		return r.Step > other.Step
+	}
+	return r.State != RolloutRunning && other.State == RolloutRunning
 }
 
 // RolloutStore stores the progress of roll-outs. Any host may write; a condition on the stored
@@ -90,9 +94,10 @@
 	// Rollouts returns the stored progress of all services.
 	Rollouts(ctx context.Context) (stored []Rollout, err error)
 
-	// Advance stores next, provided that the stored record of its service is last; last is nil
-	// when there is none. It returns the record that is stored now: next, or the one that
-	// another host has written. After an error, next may have been stored.
+	// Advance stores next, provided that the stored record of its service is last, or one before
+	// last: a store that has come back from a copy has lost last. last is nil when there is none.
+	// It returns the record that is stored now: next, or the one that another host has written.
+	// After an error, next may have been stored.
 	Advance(ctx context.Context, last *Rollout, next Rollout) (stored Rollout, err error)
 }
 
