quota: a node that starts counts what was admitted before its start

Cause: a node that has started knows nothing of the window before, and took an organisation that asked for less than its rate for one that cannot exceed its contract: it filled the bucket to 0.4 of the allowance and 28.

Change: nodes that lived on tell the window, slot by slot, for 3 s after they hear of a new process; what a killed node may have admitted since its last report counts. Where none lived on, the store tells the most that an organisation uses in a window and in a second, written by one host of each zone when it grows. Without either, or with a demand above the rate, as much counts as holders ever admit.

TestAfterKill and the other simulations have a store now, which the change needs; their bounds are as they were.

--- a/internal/cmds/attach.go
+++ b/internal/cmds/attach.go
@@ -66,7 +66,7 @@
 	}
 	store := bridge.NewStore(settings.Store, logs.WithPrefix(logger, "store"))
 	node, err := agent.New(settings.Node, agent.Platform{
-		Source: store, Registry: store, Rollouts: store, Dialect: bridge.Dialect{},
+		Source: store, Registry: store, Usage: store, Rollouts: store, Dialect: bridge.Dialect{},
 		Reports: bridge.Reports(logs.WithPrefix(logger, "reports")),
 	}, agent.WithLogger(logger))
 	if err != nil {
--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -52,6 +52,9 @@
 	Registry mesh.HostRegistry
 	Dialect  mesh.Dialect
 
+	// Usage is nil where the usage of contracts is not stored.
+	Usage mesh.UsageStore
+
 	// Rollouts is nil where operators cannot order roll-outs.
 	Rollouts mesh.RolloutStore
 
@@ -140,6 +143,11 @@
 		&receiverDuty{socket: socket, member: member, quota: quotas, rollouts: rollouts, picker: picker, log: logs.WithPrefix(l, "ear")},
 		&guardDuty{account: a.account, log: logs.WithPrefix(l, "guard")},
 	}
+	quotas.member = member
+	if a.platform.Usage != nil {
+		quotas.usage = newUsageDuty(vars, a.platform.Usage, s.Zone, quotas, logs.WithPrefix(l, "usage"))
+		a.duties = append(a.duties, quotas.usage)
+	}
 	if a.platform.Rollouts != nil && s.ExposureShare > 0 {
 		rollouts.store = newRolloutStoreDuty(vars, a.platform.Rollouts, rollouts)
 		a.duties = append(a.duties, rollouts.store)
--- a/internal/mesh/agent/member.go
+++ b/internal/mesh/agent/member.go
@@ -361,7 +361,7 @@
 	self := d.state.Self()
 	b = &beat.Beat{
 		Host: self, KnownHosts: d.state.KnownHosts(),
-		Usage: quota.Report{From: self.Addr, Incarnation: self.Incarnation, Usage: d.quota.Usage(ctx)},
+		Usage: d.quota.Report(ctx, self),
 	}
 	if own := d.follow.view.Load(); own != nil {
 		b.AsOf, b.ConfigDigest, b.Carries = own.AsOf, own.digest, own.Carried.Pending()
--- a/internal/mesh/agent/quota.go
+++ b/internal/mesh/agent/quota.go
@@ -40,6 +40,14 @@
 	self    netip.AddrPort
 	log     logs.Log
 
+	member *memberDuty
+
+	// usage stores the usage of the whole fleet; nil where that is not stored. recording is true while
+	// it does, and era is that of the configuration in force.
+	usage     *usageDuty
+	recording bool
+	era       uint64
+
 	// asks holds the asks without a verdict by their ids, and lastAsk the id of the newest.
 	asks    map[uint64]*pendingAsk
 	lastAsk uint64
@@ -96,7 +104,8 @@
 type admitReply struct{ refusal *mesh.Refusal }
 
 type usageReply struct {
-	used map[mesh.OrganisationName]quota.Usage
+	used   map[mesh.OrganisationName]quota.Usage
+	window map[mesh.OrganisationName][]uint64
 }
 
 // EventName implements mesh.Event.
@@ -138,19 +147,21 @@
 	}
 }
 
-// Usage returns the number of requests that this node has received and admitted, by
-// organisation.
-func (d *quotaDuty) Usage(ctx context.Context) (used map[mesh.OrganisationName]quota.Usage) {
+// Report returns the report of this host to the others on the requests that it has received and
+// admitted.
+func (d *quotaDuty) Report(ctx context.Context, self mesh.Host) (r quota.Report) {
+	r = quota.Report{From: self.Addr, Incarnation: self.Incarnation}
 	reply := ring.NewReply()
 	if d.events.Send(ctx, usageRequest{reply: reply}) != nil {
-		return nil
+		return r
 	}
 	select {
 	case e := <-reply.Events():
-		return e.(usageReply).used
+		answer := e.(usageReply)
+		r.Usage, r.Window = answer.used, answer.window
 	case <-ctx.Done():
-		return nil
 	}
+	return r
 }
 
 // Run implements mesh.Duty.
@@ -163,6 +174,7 @@
 			return nil
 		case now := <-ticker.C:
 			d.buckets.Tick(now)
+			d.record(now)
 		case now := <-d.expiry.C:
 			d.expireAsks(now)
 		case e := <-d.events.Events():
@@ -184,8 +196,19 @@
 	case fleetChanged:
 		d.buckets.SetFleet(now, e.fleet)
 	case usageRequest:
-		e.reply.Answer(usageReply{used: d.buckets.LocalUsage(now)})
+		e.reply.Answer(usageReply{used: d.buckets.LocalUsage(now), window: d.buckets.LocalWindow(now)})
+	case usageRead:
+		d.buckets.Recall(now, e.usage)
+	case usageStored:
+		d.recording = false
+		if e.err == nil {
+			d.buckets.Recorded(e.usage)
+		}
 	case configChanged:
+		if e.AsOf.Era != d.era {
+			d.era = e.AsOf.Era
+			d.buckets.ForgetRecorded()
+		}
 		if e.Rules == nil {
 			return
 		}
@@ -197,6 +220,20 @@
 	}
 }
 
+// record lets the usage be stored when that is due and this host is the one of its zone that does.
+func (d *quotaDuty) record(now time.Time) {
+	if d.usage == nil || d.recording {
+		return
+	}
+	if !d.member.View().LeadsFollowers {
+		d.buckets.ForgetRecorded()
+		return
+	}
+	if usage, due := d.buckets.Record(now); due {
+		d.recording = d.usage.events.Offer(storeUsage{usage: usage})
+	}
+}
+
 // admit has a request admitted, by this host if it holds the contract.
 func (d *quotaDuty) admit(now time.Time, p *pendingAsk) {
 	name := p.request.organisation
--- a/internal/mesh/agent/quota_test.go
+++ b/internal/mesh/agent/quota_test.go
@@ -100,9 +100,9 @@
 	if got := entry.admitted(t.Context(), time.Second); got == 0 || got > 80 {
 		t.Errorf("got %d requests admitted in a second, want 1 to 80", got)
 	}
-	used := zone[0].Usage(t.Context())["a"]
-	if used.Admitted == 0 || len(entry.Usage(t.Context())) != 0 {
-		t.Errorf("got usage %v at the holder and %v at the entry, want it at the holder alone", used, entry.Usage(t.Context()))
+	used := zone[0].Report(t.Context(), mesh.Host{}).Usage["a"]
+	if used.Admitted == 0 || len(entry.Report(t.Context(), mesh.Host{}).Usage) != 0 {
+		t.Errorf("got usage %v at the holder and %v at the entry, want it at the holder alone", used, entry.Report(t.Context(), mesh.Host{}).Usage)
 	}
 	zone[0].cancel()
 	started := time.Now()
@@ -113,7 +113,7 @@
 	if refusal != nil && refusal.Code != header.RateExceeded {
 		t.Errorf("with the holder gone: got %v, want the verdict of the next host", refusal)
 	}
-	if got := zone[1].Usage(t.Context())["a"].Offered; got == 0 {
+	if got := zone[1].Report(t.Context(), mesh.Host{}).Usage["a"].Offered; got == 0 {
 		t.Error("got no request at the next host, want one")
 	}
 }
--- a/internal/mesh/beat/beat.go
+++ b/internal/mesh/beat/beat.go
@@ -26,6 +26,10 @@
 // maxColdTime is the maximum remaining time of a cold start, which takes seconds.
 const maxColdTime = 24 * time.Hour
 
+// maxSlotRequests is the maximum number of requests that a fleet admits in a slot of a window, far above
+// the load that the design supports.
+const maxSlotRequests = 1 << 32
+
 // maxTargets is the maximum number of targets of one host.
 const maxTargets = 64
 
@@ -92,6 +96,10 @@
 	// the newest slots.
 	Usage map[string][]byte
 
+	// Window holds the admitted requests of each slot of a window, newest first, as unsigned varints; nil
+	// in most heartbeats.
+	Window map[string][]byte
+
 	Era     uint64
 	AsOf    uint64
 	Rules   uint64
@@ -131,6 +139,12 @@
 	for name, u := range b.Usage.Usage {
 		m.Usage[string(name)] = encodeUsage(u)
 	}
+	if b.Usage.Window != nil {
+		m.Window = make(map[string][]byte, len(b.Usage.Window))
+		for name, slots := range b.Usage.Window {
+			m.Window[string(name)] = encodeSlots(slots)
+		}
+	}
 	data, err = cbor.Marshal(m)
 	if b.Relay {
 		return append([]byte{flagRelay}, data...), err
@@ -175,7 +189,10 @@
 	if b.Host.Targets, err = decodeTargets(now, m.Targets); err != nil {
 		return nil, err
 	}
-	b.Usage.Usage, err = decodeUsage(m.Usage)
+	if b.Usage.Usage, err = decodeUsage(m.Usage); err != nil {
+		return nil, err
+	}
+	b.Usage.Window, err = decodeWindow(m.Window)
 	return b, err
 }
 
@@ -210,6 +227,32 @@
 	return pairs
 }
 
+func encodeSlots(slots []uint64) (data []byte) {
+	for _, n := range slots {
+		data = binary.AppendUvarint(data, n)
+	}
+	return data
+}
+
+func decodeWindow(window map[string][]byte) (decoded map[mesh.OrganisationName][]uint64, err error) {
+	if window == nil {
+		return nil, nil
+	}
+	decoded = make(map[mesh.OrganisationName][]uint64, len(window))
+	for name, data := range window {
+		var slots []uint64
+		for len(data) > 0 {
+			requests, n := binary.Uvarint(data)
+			if n <= 0 || requests > maxSlotRequests {
+				return nil, fmt.Errorf("window of organisation %q: the number of requests is invalid or above %d", name, maxSlotRequests)
+			}
+			slots, data = append(slots, requests), data[n:]
+		}
+		decoded[mesh.OrganisationName(name)] = slots
+	}
+	return decoded, nil
+}
+
 func decodeUsage(usage map[string][]byte) (decoded map[mesh.OrganisationName]quota.Usage, err error) {
 	decoded = make(map[mesh.OrganisationName]quota.Usage, len(usage))
 	for name, pairs := range usage {
--- a/internal/mesh/beat/beat_test.go
+++ b/internal/mesh/beat/beat_test.go
@@ -43,6 +43,29 @@
 	}
 }
 
+// TestWindowRoundTrip guards against a window of admitted requests that is lost or invalid, and against
+// one that says nothing and counts as missing.
+func TestWindowRoundTrip(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	for _, want := range []map[mesh.OrganisationName][]uint64{nil, {}, {"a": {0, 300, 1}, "b": {1 << 20}}} {
+		b := sample(now)
+		b.Usage.Window = want
+		data, err := Encode(now, b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode(now, data)
+		if err != nil || !reflect.DeepEqual(got.Usage.Window, want) {
+			t.Errorf("got window %v (%v), want %v", got.Usage.Window, err, want)
+		}
+	}
+	for _, slots := range [][]byte{{0x80}, encodeSlots([]uint64{maxSlotRequests + 1})} {
+		if got, err := decodeWindow(map[string][]byte{"a": slots}); err == nil {
+			t.Errorf("slots % x: got window %v, want an error", slots, got)
+		}
+	}
+}
+
 // TestBadDatagrams guards against an invalid datagram that is partly used or that crashes the
 // node.
 func TestBadDatagrams(t *testing.T) {
--- a/internal/mesh/fleetconfig.go
+++ b/internal/mesh/fleetconfig.go
@@ -116,6 +116,24 @@
 	Parse(text []byte) (rules *Rules, err error)
 }
 
+// ContractUsage is the most that an organisation uses of its contract at present, in numbers of admitted
+// requests over all hosts.
+type ContractUsage struct {
+	// Window is the most in a window of contracts, and Second the most in a second of it.
+	Window, Second uint64
+}
+
+// UsageStore stores how much of their contracts organisations use, for nodes that start when none lived
+// on that knows.
+type UsageStore interface {
+	// Usage returns the stored usage, the highest of all zones. It fails when a part of it may be lost.
+	Usage(ctx context.Context) (usage map[OrganisationName]ContractUsage, err error)
+
+	// StoreUsage replaces the stored usage of a zone, which is that of the whole fleet as the zone
+	// knows it.
+	StoreUsage(ctx context.Context, zone ZoneName, usage map[OrganisationName]ContractUsage) (err error)
+}
+
 // HostRegistry is the stored list of all hosts that have ever run a node. It holds no
 // liveness information.
 type HostRegistry interface {
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -70,26 +70,6 @@
 	// exceed the remaining allowance, for organisations whose allowance is a few requests.
 	slackTokens = 16
 
-	// minDemandPeriod is the minimum time over which the demand is averaged after a start. A
-	// few requests in a shorter time are not significant.
-	minDemandPeriod = 500 * time.Millisecond
-
-	// startFraction of the allowance plus startSlackTokens is the total capacity of all
-	// buckets in the first window after their start, if the demand is below the rate.
-	startFraction    = 0.4
-	startSlackTokens = 28
-
-	// unknownDemandFraction is the fraction of the rate that is admitted for minDemandPeriod
-	// after a start, while the demand is not known yet. It is below 1 because the allowance
-	// may have been used up shortly before the start, and then none of those requests leaves
-	// the window for seconds.
-	unknownDemandFraction = 0.4
-
-	// excessDemandFraction is the fraction of the rate that is admitted in the first window
-	// after a start, while the demand is above the rate or still unknown after
-	// minDemandPeriod. It is below 1 for the same reason as unknownDemandFraction.
-	excessDemandFraction = 0.1
-
 	// limitedBurstFraction is the fraction of a node's share of the burst that its bucket
 	// holds while most of the allowance is used.
 	limitedBurstFraction = 0.1
@@ -136,6 +116,11 @@
 	From        netip.AddrPort
 	Incarnation mesh.Incarnation
 	Usage       map[mesh.OrganisationName]Usage
+
+	// Window holds the requests that all hosts admitted in the last window, by slot, newest first, as
+	// far as the sender knows. It is nil unless the sender informs hosts that have just started;
+	// organisations without requests are left out then.
+	Window map[mesh.OrganisationName][]uint64
 }
 
 // RateLimiter holds the token buckets of one node. It is not safe for concurrent use; one
@@ -156,6 +141,14 @@
 	// slots is the number of slots since the start of this node.
 	slots int
 
+	// earlier is what this node knows of the requests before its start, and informUntil the time until
+	// which its reports inform hosts that have just started.
+	earlier     earlier
+	informUntil time.Time
+
+	// recorder decides when the usage is recorded.
+	recorder recorder
+
 	// unresponsive holds the hosts that did not answer lately, with the time until which they
 	// are avoided.
 	unresponsive map[netip.AddrPort]time.Time
@@ -181,9 +174,6 @@
 	// the other holders do not cover yet.
 	budget float64
 
-	// created is when this node first received the contract.
-	created time.Time
-
 	// asked holds the hosts that this node asks for admissions, in this order; nil until it is
 	// needed.
 	asked []netip.AddrPort
@@ -323,6 +313,7 @@
 	return &RateLimiter{
 		accounts: make(map[mesh.OrganisationName]*account), hosts: make(map[netip.AddrPort]*remoteHost),
 		removed: make(map[mesh.OrganisationName]removedAccount), unresponsive: make(map[netip.AddrPort]time.Time),
+		recorder: recorder{recorded: make(map[mesh.OrganisationName]mesh.ContractUsage), lastUsed: make(map[mesh.OrganisationName]float64)},
 	}
 }
 
@@ -337,7 +328,7 @@
 		if !found {
 			a = b.restoreAccount(c.Organisation)
 			if a == nil {
-				a = &account{contract: c, refilled: now, created: now}
+				a = &account{contract: c, refilled: now}
 				a.assumeEqualShare(&b.fleet)
 			}
 			b.accounts[c.Organisation] = a
@@ -385,12 +376,19 @@
 	case !found:
 		h = &remoteHost{incarnation: r.Incarnation, usage: make(map[mesh.OrganisationName]*remoteUsage)}
 		b.hosts[r.From] = h
+		b.informUntil = now.Add(informTime)
 	case h.incarnation != r.Incarnation:
-		// What the host admitted before its restart still counts.
+		// What the host admitted before its restart still counts, and it may have used its budget since
+		// its last report. No report will tell.
 		h.incarnation, h.reportCount = r.Incarnation, 0
-		for _, u := range h.usage {
-			u.last = Usage{}
+		for name, u := range h.usage {
+			u.last, u.admitted.assumed = Usage{}, counts{}
+			if a := b.accounts[name]; a != nil {
+				budget := b.holderFraction(a, u.share) * (b.limit(a) - b.sumAdmitted(now, a))
+				u.admitted.counts[0] += max(0, budget-u.admitted.total(b.uncoveredSlots()))
+			}
 		}
+		b.informUntil = now.Add(informTime)
 	}
 	h.lastReport = now
 	h.reportCount++
@@ -430,6 +428,7 @@
 		u.offered.rate, u.admitted.rate = u.offered.rateBefore(0), u.admitted.total(windowSlots)/window.Seconds()
 		u.admitted.surgeRate = u.admitted.total(surgeSlots) / (surgeSlots * slotLength.Seconds())
 	}
+	b.learn(r.Window)
 }
 
 // remoteUsages returns the usage of an organisation at the other hosts. Each contract is held by a
@@ -491,6 +490,7 @@
 
 func (b *RateLimiter) nextSlot(now time.Time) {
 	b.slots++
+	b.earlier.nextSlot()
 	for _, a := range b.accounts {
 		a.offered.shift(0)
 		a.admitted.shift(0)
@@ -522,25 +522,6 @@
 // isolated reports whether this host is cut off from most of its zone.
 func (b *RateLimiter) isolated() bool { return b.fleet.reachable() < isolatedFraction }
 
-// totalDemand returns the demand at all hosts since this node started, in requests per
-// second. It is known once most hosts have reported; the others are assumed to have the
-// mean demand.
-func (b *RateLimiter) totalDemand(now time.Time, a *account) (rate float64, known bool) {
-	requests := a.offered.total(windowSlots)
-	reporting := 1
-	for _, h := range b.hosts {
-		if h.reportCount < 2 {
-			continue
-		}
-		reporting++
-		if u := h.usage[a.contract.Organisation]; u != nil {
-			requests += u.offered.total(windowSlots)
-		}
-	}
-	requests *= max(1, float64(b.fleet.Size())/float64(reporting))
-	return requests / max(minDemandPeriod, now.Sub(a.created)).Seconds(), 2*reporting > b.fleet.Size()
-}
-
 // demandShare returns this node's share of an organisation's demand, from 0 to 1. It counts the
 // requests that the reports of all holders cover, its own too: with its newest requests, which the
 // others do not know yet, the shares of all holders would exceed 1 together while the demand grows.
@@ -600,15 +581,16 @@
 	}
 	share := a.demandShare
 	equalShare := b.fleet.reachable() / float64(b.fleet.holders(a))
-	a.budget = (equalFraction*equalShare + (1-equalFraction)*share) * ((1+marginFraction)*a.allowance() + marginTokens - covered)
+	limit := b.limit(a)
+	a.budget = (equalFraction*equalShare + (1-equalFraction)*share) * (limit - covered)
 	capacityShare := max(share, equalShare)
-	remaining := boostThreshold*a.allowance() + marginTokens - a.admitted.total(windowSlots) - a.remoteAdmitted
-	switch {
-	case now.Sub(a.created) < window:
-		b.resizeStart(now, a, share, capacityShare)
-	case remaining > 0:
+	threshold := boostThreshold*a.allowance() + marginTokens
+	if b.starting() {
+		threshold = limit
+	}
+	if remaining := threshold - a.admitted.total(windowSlots) - a.remoteAdmitted; remaining > 0 {
 		a.rate, a.capacity = share*boostFactor*a.allowance()/window.Seconds(), capacityShare*(remaining+slackTokens)
-	default:
+	} else {
 		a.rate, a.capacity = share*a.allowance()/window.Seconds(), share*a.contract.Burst*limitedBurstFraction
 	}
 	if !b.isolated() {
@@ -618,16 +600,17 @@
 }
 
 // sumAdmitted updates remoteAdmitted and returns how many requests all hosts admitted in the slots
-// of the window that reports cover.
+// of the window that reports cover. What was admitted before the start of this node counts as
+// admitted by the others.
 func (b *RateLimiter) sumAdmitted(now time.Time, a *account) (covered float64) {
 	uncovered := b.uncoveredSlots()
-	covered = a.admitted.total(windowSlots) - a.admitted.total(uncovered)
-	a.remoteAdmitted = 0
+	a.remoteAdmitted = b.admittedEarlier(a)
+	covered = a.admitted.total(windowSlots) - a.admitted.total(uncovered) + a.remoteAdmitted
 	for _, u := range b.remoteUsages(a) {
 		admitted := u.admitted.total(windowSlots)
 		if b.silent(now, u.host) {
 			// On the other side of a network partition it may use as much as its budget allows.
-			budget := (equalFraction/float64(b.fleet.holders(a)) + (1-equalFraction)*u.share) * a.allowance()
+			budget := b.holderFraction(a, u.share) * a.allowance()
 			admitted = max((1+silentMargin)*admitted, budget)
 		} else {
 			admitted += u.admitted.surgeExcess(now.Sub(u.host.lastReport))
@@ -638,18 +621,10 @@
 	return covered
 }
 
-// resizeStart sets the bucket in the first window after a start. The number of requests admitted
-// before is not known. An organisation whose demand is below its rate cannot exceed its allowance.
-func (b *RateLimiter) resizeStart(now time.Time, a *account, share, capacityShare float64) {
-	a.capacity = 1
-	switch offered, known := b.totalDemand(now, a); {
-	case !known && now.Sub(a.created) < minDemandPeriod:
-		a.rate = unknownDemandFraction * share * a.contract.Rate
-	case !known || offered > a.contract.Rate:
-		a.rate = excessDemandFraction * share * a.contract.Rate
-	default:
-		a.rate, a.capacity = capacityShare*a.allowance()/window.Seconds(), capacityShare*(startFraction*a.allowance()+startSlackTokens)
-	}
+// holderFraction returns the fraction of what is left of a window that a holder with a share of the
+// demand may admit in the time that reports do not cover.
+func (b *RateLimiter) holderFraction(a *account, share float64) (fraction float64) {
+	return equalFraction/float64(b.fleet.holders(a)) + (1-equalFraction)*share
 }
 
 func (a *account) refill(now time.Time) {
@@ -681,9 +656,9 @@
 	a.usage.Offered++
 	a.offered[0]++
 	a.refill(now)
-	if !b.mayAdmit(now, a) {
+	if !b.mayAdmit(a) {
 		refusal = mesh.NotRun(header.RateExceeded, "organisation %q exceeds its rate limit of %g requests per second", name, a.contract.Rate)
-		refusal.RetryAfter = a.retryAfter()
+		refusal.RetryAfter = b.retryAfter(a)
 		return refusal
 	}
 	a.tokens--
@@ -693,21 +668,23 @@
 }
 
 // mayAdmit reports whether one more request of an organisation may be admitted.
-func (b *RateLimiter) mayAdmit(now time.Time, a *account) bool {
-	switch {
-	case a.tokens < 1, a.admitted.total(windowSlots)+a.remoteAdmitted >= a.allowance()+marginTokens:
+func (b *RateLimiter) mayAdmit(a *account) bool {
+	limit := a.allowance() + marginTokens
+	if b.starting() {
+		limit = b.limit(a)
+	}
+	if a.tokens < 1 || a.admitted.total(windowSlots)+a.remoteAdmitted >= limit {
 		return false
-	case now.Sub(a.created) < window:
-		// What the others admitted in the window is not known yet, and the bucket is small.
-		return true
-	default:
-		return a.admitted.total(b.uncoveredSlots())+1 <= a.budget
 	}
+	return a.admitted.total(b.uncoveredSlots())+1 <= a.budget
 }
 
 // retryAfter returns the delay after which a retry is likely to get a token. While the
 // demand exceeds the rate, that is the whole window.
-func (a *account) retryAfter() (after time.Duration) {
+func (b *RateLimiter) retryAfter(a *account) (after time.Duration) {
+	if b.starting() && a.budget < 1 {
+		return time.Duration(windowSlots-b.slots) * slotLength
+	}
 	if a.offered.rateBefore(0) > a.rate {
 		return window
 	}
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,6 +68,59 @@
 
 	// admitted and refused hold the number of requests in each step.
 	admitted, refused []int
+
+	// records holds what the first living host of each zone has recorded as the usage, in the store,
+	// which answers no host while storeDown is true. pending are the records on their way.
+	records   []map[mesh.OrganisationName]mesh.ContractUsage
+	pending   []pendingRecord
+	storeDown bool
+}
+
+// pendingRecord is a record that the store gets at a time.
+type pendingRecord struct {
+	host  *host
+	usage map[mesh.OrganisationName]mesh.ContractUsage
+	at    time.Time
+}
+
+// recordDelay is the time from a decision to record the usage until the store has it.
+const recordDelay = 50 * time.Millisecond
+
+// record lets the first living host of a zone record the usage.
+func (r *simulation) record(h *host) {
+	first := r.byZone[h.zone][slices.IndexFunc(r.byZone[h.zone], func(o *host) bool { return !o.down })]
+	if h != first || r.storeDown || slices.ContainsFunc(r.pending, func(p pendingRecord) bool { return p.host == h }) {
+		return
+	}
+	if usage, due := h.limiter.Record(r.now); due {
+		r.pending = append(r.pending, pendingRecord{host: h, usage: usage, at: r.now.Add(recordDelay)})
+	}
+}
+
+// store applies the records that the store gets now. A record of a host that was killed on its way is
+// lost.
+func (r *simulation) store() {
+	for len(r.pending) > 0 && !r.now.Before(r.pending[0].at) {
+		p := r.pending[0]
+		r.pending = r.pending[1:]
+		r.records[p.host.zone] = p.usage
+		p.host.limiter.Recorded(p.usage)
+	}
+}
+
+// recall lets a host that has started read the recorded usage.
+func (r *simulation) recall(h *host) {
+	if r.storeDown {
+		return
+	}
+	recorded := make(map[mesh.OrganisationName]mesh.ContractUsage)
+	for _, usage := range r.records {
+		for name, n := range usage {
+			known := recorded[name]
+			recorded[name] = mesh.ContractUsage{Window: max(known.Window, n.Window), Second: max(known.Second, n.Second)}
+		}
+	}
+	h.limiter.Recall(r.now, recorded)
 }
 
 func newSimulation(seed uint64, hosts int, demand float64, c mesh.Contract) (r *simulation) {
@@ -77,6 +131,7 @@
 	r = &simulation{
 		random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1e9, 0), contract: c, reportSteps: 30,
 		zoneSizes: make([]int, zones), byZone: make([][]*host, zones), byAddr: make(map[netip.AddrPort]*host),
+		records: make([]map[mesh.OrganisationName]mesh.ContractUsage, zones),
 	}
 	if hosts > 32 {
 		// Heartbeat intervals of large fleets are 0.33 s within a zone and 0.54 s between zones.
@@ -111,9 +166,11 @@
 	r.boot(h)
 	h.limiter.SetFleet(r.now, r.fleet(h))
 	h.limiter.Configure(r.now, []mesh.Contract{r.contract})
+	r.recall(h)
 }
 
 func (r *simulation) boot(h *host) {
+	r.pending = slices.DeleteFunc(r.pending, func(p pendingRecord) bool { return p.host == h })
 	h.limiter, h.incarnation, h.hostsKnownAt, h.heard = New(), h.incarnation+1, r.now, make(map[*host]time.Time, len(r.hosts))
 	for _, other := range r.hosts {
 		h.heard[other] = r.now
@@ -164,6 +221,7 @@
 func (r *simulation) run(d time.Duration) {
 	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(step) {
 		n := len(r.admitted)
+		r.store()
 		r.admitted, r.refused = append(r.admitted, 0), append(r.refused, 0)
 		for i, h := range r.hosts {
 			if h.down {
@@ -178,12 +236,14 @@
 			}
 			if r.now.Equal(h.hostsKnownAt) {
 				h.limiter.SetFleet(r.now, r.fleet(h))
+				r.recall(h)
 			}
 			if n%25 == i%25 {
 				if !r.now.Before(h.hostsKnownAt) {
 					h.limiter.SetFleet(r.now, r.fleet(h))
 				}
 				h.limiter.Tick(r.now)
+				r.record(h)
 			}
 			if n%r.reportSteps == i%r.reportSteps {
 				r.report(h)
@@ -201,7 +261,7 @@
 }
 
 func (r *simulation) report(h *host) {
-	report := Report{From: h.addr, Incarnation: h.incarnation, Usage: h.limiter.LocalUsage(r.now)}
+	report := Report{From: h.addr, Incarnation: h.incarnation, Usage: h.limiter.LocalUsage(r.now), Window: h.limiter.LocalWindow(r.now)}
 	for _, to := range r.hosts {
 		if to == h || to.down || to.side != h.side {
 			continue
