quota: steady organisations get through after a start of all nodes

Cause: until the demand was known, and whenever it was above the rate, the whole allowance counted as used. Callers that had waited for the nodes came back at once, were refused and came back again, which kept the demand up.

Change: while the demand is not known, the stored most in a second may be admitted in each; a surge is a demand above 1.5 times the rate; a stored usage that is far too high is lowered after 5 s, as long as a window is.

--- a/internal/mesh/quota/record.go
+++ b/internal/mesh/quota/record.go
@@ -30,9 +30,9 @@
 	growthNoise = 2
 
 	// lowerFraction is the fraction of the recorded usage below which it is lowered, and lowerTime how
-	// long the usage has to be lower. Batches that come again need no new record then.
+	// long the usage has to be lower.
 	lowerFraction = 0.75
-	lowerTime     = 20 * time.Second
+	lowerTime     = 5 * time.Second
 )
 
 // recorder decides when a node records the usage of contracts. Nodes that start when none lived on admit
--- a/internal/mesh/quota/start.go
+++ b/internal/mesh/quota/start.go
@@ -18,10 +18,14 @@
 	// few requests in a shorter time are not significant.
 	minDemandPeriod = 500 * time.Millisecond
 
-	// unknownDemandFraction is the fraction of the rate that is admitted at least after a start, while
-	// the demand is not known yet.
+	// unknownDemandFraction is the fraction of the rate that may be admitted at least after a start, while
+	// the demand is not known yet; it is more where a second of the recorded usage has more.
 	unknownDemandFraction = 0.4
 
+	// surgeFactor is the ratio of demand and rate above which a surge may have begun too shortly before
+	// the start to be recorded. Callers that have waited for the node and come back at once stay below.
+	surgeFactor = 1.5
+
 	// informTime is how long a node informs the others after it has heard of a host that has started.
 	// Several reports reach that host in this time.
 	informTime = 3 * time.Second
@@ -76,16 +80,15 @@
 	}
 	// What was admitted longer ago than a window does not count, and no second had more than recorded.
 	since := time.Duration(b.slots) * slotLength
-	recorded := float64(b.earlier.recorded[name].Window)
-	if second := float64(b.earlier.recorded[name].Second); second > 0 {
+	recorded, second := float64(b.earlier.recorded[name].Window), float64(b.earlier.recorded[name].Second)
+	if second > 0 {
 		recorded = min(recorded, second*math.Ceil((window-since).Seconds()))
 	}
 	recorded = min(most, max(recorded, recordFloor*a.allowance()))
 	switch demand, known := b.totalDemand(a); {
 	case !known:
-		return max(recorded, most-unknownDemandFraction*a.contract.Rate*since.Seconds())
-	case demand > a.contract.Rate:
-		// A surge that goes on may have begun too shortly before the start to be recorded.
+		return max(recorded, most-max(second, unknownDemandFraction*a.contract.Rate)*since.Seconds())
+	case demand > surgeFactor*a.contract.Rate:
 		return most
 	default:
 		return recorded
