quota: no negative slots in the window for hosts that start

A slot of a report may hold less than nothing, since the slots of two hosts differ by up to one.

TestWindowWithoutNegativeSlots failed before ("slot 3: got requests, want at most 41") and passes.

--- a/internal/mesh/quota/start.go
+++ b/internal/mesh/quota/start.go
@@ -167,7 +167,8 @@
 			if c := b.earlier.admitted[name]; c != nil {
 				n += c[i]
 			}
-			if slots[i] = uint64(math.Round(n)); slots[i] > 0 {
+			// The slots of two reports may differ by one, which leaves a negative number in some.
+			if slots[i] = uint64(math.Round(max(0, n))); slots[i] > 0 {
 				last = i
 			}
 		}
--- a/internal/mesh/quota/start_test.go
+++ b/internal/mesh/quota/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -100,6 +101,35 @@
 	}
 }
 
+// TestWindowWithoutNegativeSlots guards against a window that no host can decode, so that all take its
+// sender for silent: a slot of a report may hold less than nothing.
+func TestWindowWithoutNegativeSlots(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	b := New()
+	b.Configure(now, []mesh.Contract{{Organisation: "a", Rate: 100, Burst: 100}})
+	for range windowSlots {
+		now = now.Add(slotLength)
+		b.Tick(now)
+	}
+	r := Report{From: netip.MustParseAddrPort("10.0.0.2:7000"), Incarnation: 1, Usage: map[mesh.OrganisationName]Usage{
+		"a": {Offered: 40, Admitted: 40, Recent: []Slot{{Offered: 5, Admitted: 5}, {Offered: 15, Admitted: 15}}},
+	}}
+	b.ApplyReport(now, r)
+	now = now.Add(slotLength)
+	b.Tick(now)
+	r.Usage["a"] = Usage{Offered: 41, Admitted: 41, Recent: []Slot{{Offered: 2, Admitted: 2}, {Offered: 6, Admitted: 6}, {Offered: 16, Admitted: 16}}}
+	b.ApplyReport(now, r)
+	slots := b.LocalWindow(now)["a"]
+	if len(slots) == 0 {
+		t.Fatal("got no window, want one for the host that has started")
+	}
+	for i, got := range slots {
+		if want := uint64(41); got > want {
+			t.Errorf("slot %d: got %d requests, want at most %d", i, got, want)
+		}
+	}
+}
+
 // TestRecords guards against a record for each slot of a steady demand, and against a record that stays
 // high for good.
 func TestRecords(t *testing.T) {
