quota: one host of each zone informs hosts that start; fewer records

While nodes are restarted in turn, every beat held the window of all contracts, and all records were lowered and raised again together.

Now one host of each zone informs, chosen by rendezvous hashing among those that have run for a window, and each organisation's record is lowered by itself. Records lie farther above the usage.

--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -141,10 +141,8 @@
 	// slots is the number of slots since the start of this node.
 	slots int
 
-	// earlier is what this node knows of the requests before its start, and informUntil the time until
-	// which its reports inform hosts that have just started.
-	earlier     earlier
-	informUntil time.Time
+	// earlier is what this node knows of the requests before its start.
+	earlier earlier
 
 	// recorder decides when the usage is recorded.
 	recorder recorder
@@ -202,6 +200,9 @@
 	incarnation mesh.Incarnation
 	lastReport  time.Time
 
+	// started is when this node first heard of the incarnation.
+	started time.Time
+
 	// reportCount is the number of reports received from this incarnation. The first one
 	// does not show when its requests arrived.
 	reportCount int
@@ -313,7 +314,7 @@
 	return &RateLimiter{
 		accounts: make(map[mesh.OrganisationName]*account), hosts: make(map[netip.AddrPort]*remoteHost),
 		removed: make(map[mesh.OrganisationName]removedAccount), unresponsive: make(map[netip.AddrPort]time.Time),
-		recorder: recorder{recorded: make(map[mesh.OrganisationName]mesh.ContractUsage), lastUsed: make(map[mesh.OrganisationName]float64)},
+		recorder: recorder{recorded: make(map[mesh.OrganisationName]mesh.ContractUsage), lastUsed: make(map[mesh.OrganisationName]float64), lowSince: make(map[mesh.OrganisationName]time.Time)},
 	}
 }
 
@@ -375,12 +376,12 @@
 	switch {
 	case !found:
 		h = &remoteHost{incarnation: r.Incarnation, usage: make(map[mesh.OrganisationName]*remoteUsage)}
+		h.started = now
 		b.hosts[r.From] = h
-		b.informUntil = now.Add(informTime)
 	case h.incarnation != r.Incarnation:
 		// What the host admitted before its restart still counts, and it may have used its budget since
 		// its last report. No report will tell.
-		h.incarnation, h.reportCount = r.Incarnation, 0
+		h.incarnation, h.reportCount, h.started = r.Incarnation, 0, now
 		for name, u := range h.usage {
 			u.last, u.admitted.assumed = Usage{}, counts{}
 			if a := b.accounts[name]; a != nil {
@@ -388,7 +389,6 @@
 				u.admitted.counts[0] += max(0, budget-u.admitted.total(b.uncoveredSlots()))
 			}
 		}
-		b.informUntil = now.Add(informTime)
 	}
 	h.lastReport = now
 	h.reportCount++
--- a/internal/mesh/quota/record.go
+++ b/internal/mesh/quota/record.go
@@ -15,8 +15,8 @@
 
 	// recordFraction of the allowance plus recordTokens is how far the recorded usage lies above the
 	// present one, so that a steady demand needs few records.
-	recordFraction = 0.03
-	recordTokens   = 2
+	recordFraction = 0.06
+	recordTokens   = 3
 
 	// recordAhead is the number of slots that the growth of the usage is looked ahead: the other hosts
 	// report, and the record is written, within that time.
@@ -27,11 +27,11 @@
 
 	// growthNoise is the number of standard deviations by which the usage of a steady demand may grow
 	// in a slot, in which some requests come and others leave the window.
-	growthNoise = 2
+	growthNoise = 3
 
 	// lowerFraction is the fraction of the recorded usage below which it is lowered, and lowerTime how
 	// long the usage has to be lower.
-	lowerFraction = 0.75
+	lowerFraction = 0.6
 	lowerTime     = 5 * time.Second
 )
 
@@ -47,8 +47,8 @@
 	// lastUsed is the usage one slot ago.
 	lastUsed map[mesh.OrganisationName]float64
 
-	// lowAt is when the first organisation fell far below its record, or zero.
-	lowAt time.Time
+	// lowSince holds the organisations far below their records, with the time at which they fell.
+	lowSince map[mesh.OrganisationName]time.Time
 }
 
 // Record returns the usage to record, and whether it is due. It must be called once per slot at a node
@@ -59,8 +59,7 @@
 	}
 	r := &b.recorder
 	due = !r.written
-	low := false
-	usage, lower := make(map[mesh.OrganisationName]mesh.ContractUsage), make(map[mesh.OrganisationName]mesh.ContractUsage)
+	usage = make(map[mesh.OrganisationName]mesh.ContractUsage)
 	for name, a := range b.accounts {
 		if a.contract.Rate == 0 {
 			continue
@@ -68,28 +67,28 @@
 		present := b.presentUsage(a)
 		recorded, floor := r.recorded[name], uint64(recordFloor*a.allowance())
 		want := mesh.ContractUsage{Window: a.above(present.Window, a.allowance()), Second: a.above(present.Second, a.contract.Rate)}
-		if want.Window > floor {
-			lower[name] = want
-		}
 		if recorded.Window > 0 {
 			usage[name] = recorded
 		}
+		low := float64(want.Window) < lowerFraction*float64(recorded.Window) || float64(want.Second) < lowerFraction*float64(recorded.Second)
+		since, found := r.lowSince[name]
+		switch {
+		case !low:
+			delete(r.lowSince, name)
+		case !found:
+			r.lowSince[name] = now
+		}
 		switch {
 		case present.Window > max(recorded.Window, floor), recorded.Window > 0 && present.Second > recorded.Second:
 			usage[name] = mesh.ContractUsage{Window: max(want.Window, recorded.Window), Second: max(want.Second, recorded.Second)}
 			due = true
-		case float64(want.Window) < lowerFraction*float64(recorded.Window), float64(want.Second) < lowerFraction*float64(recorded.Second):
-			low = true
+		case low && found && now.Sub(since) >= lowerTime:
+			usage[name], due = want, true
+			if want.Window <= floor {
+				delete(usage, name)
+			}
 		}
 	}
-	switch {
-	case !low:
-		r.lowAt = time.Time{}
-	case r.lowAt.IsZero():
-		r.lowAt = now
-	case now.Sub(r.lowAt) >= lowerTime:
-		usage, due = lower, true
-	}
 	return usage, due
 }
 
@@ -102,36 +101,41 @@
 		ahead += recordAhead * max(0, used-last-growthNoise*math.Sqrt(1+2*used/windowSlots))
 	}
 	b.recorder.lastUsed[name] = used
-	u.Window = uint64(math.Ceil(min(ahead, b.limit(a))))
+	u.Window = roundUp(ahead, b.limit(a))
 	slots := a.admitted
 	for _, usage := range b.remoteUsages(a) {
 		for i := range windowSlots {
 			slots[i] += usage.admitted.counts[i]
 		}
 	}
-	for i := range windowSlots - slotsPerSecond {
+	for i := range windowSlots - slotsPerSecond + 1 {
 		var second float64
 		for _, n := range slots[i : i+slotsPerSecond] {
 			second += n
 		}
-		u.Second = max(u.Second, uint64(math.Ceil(min(second, b.limit(a)))))
+		u.Second = max(u.Second, roundUp(second, b.limit(a)))
 	}
 	// What is looked ahead may come in one second.
-	u.Second = max(u.Second, uint64(max(0, ahead-used)))
+	u.Second = max(u.Second, roundUp(ahead-used, b.limit(a)))
 	return u
 }
 
+// roundUp returns a number of requests, from 0 to the limit. Estimates of few requests may be negative.
+func roundUp(requests, limit float64) (n uint64) {
+	return uint64(math.Ceil(max(0, min(requests, limit))))
+}
+
 // above returns the number of requests that is recorded when so many are used. A part of the contract
 // leaves room for the variance of a steady demand.
 func (a *account) above(used uint64, part float64) (recorded uint64) {
 	limit := (1+marginFraction)*a.allowance() + marginTokens
-	return uint64(math.Ceil(min(limit, float64(used)+recordFraction*part+recordTokens)))
+	return roundUp(float64(used)+recordFraction*part+recordTokens, limit)
 }
 
 // Recorded tells that the usage was recorded.
 func (b *RateLimiter) Recorded(usage map[mesh.OrganisationName]mesh.ContractUsage) {
 	r := &b.recorder
-	r.recorded, r.written, r.lowAt = maps.Clone(usage), true, time.Time{}
+	r.recorded, r.written = maps.Clone(usage), true
 }
 
 // ForgetRecorded tells that the record may be lost, or that another node writes it now.
--- a/internal/mesh/quota/start.go
+++ b/internal/mesh/quota/start.go
@@ -2,9 +2,12 @@
 
 import (
 	"math"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/quetzalstack/quetzalstack/internal/mesh"
+	"github.com/quetzalstack/quetzalstack/internal/mesh/rank"
 )
 
 const (
@@ -153,10 +156,30 @@
 	return requests
 }
 
-// LocalWindow returns the requests admitted in the last window for hosts that have just started, or nil
-// when there is none or this node does not know enough itself.
+// informs reports whether this node informs a host that has just started. One node of each zone does,
+// among those that have run for a window.
+func (b *RateLimiter) informs(now time.Time) bool {
+	if b.slots < windowSlots {
+		return false
+	}
+	settled := slices.DeleteFunc(slices.Clone(b.fleet.Candidates), func(addr netip.AddrPort) bool {
+		h := b.hosts[addr]
+		return addr != b.fleet.Self && (h == nil || now.Sub(h.started) < window)
+	})
+	for addr, h := range b.hosts {
+		if now.Sub(h.started) >= informTime {
+			continue
+		}
+		if ranked := rank.Hosts(addr.String(), settled); len(ranked) > 0 && ranked[0] == b.fleet.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// LocalWindow returns the requests admitted in the last window, or nil when this node informs no host.
 func (b *RateLimiter) LocalWindow(now time.Time) (window map[mesh.OrganisationName][]uint64) {
-	if !now.Before(b.informUntil) || b.starting() {
+	if !b.informs(now) {
 		return nil
 	}
 	window = make(map[mesh.OrganisationName][]uint64)
--- a/internal/mesh/quota/start_test.go
+++ b/internal/mesh/quota/start_test.go
@@ -106,6 +106,8 @@
 func TestWindowWithoutNegativeSlots(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	b := New()
+	self := netip.MustParseAddrPort("10.0.0.1:7000")
+	b.SetFleet(now, Fleet{Self: self, Candidates: []netip.AddrPort{self}, ZoneSize: 1, ZoneSizes: []int{1, 1}})
 	b.Configure(now, []mesh.Contract{{Organisation: "a", Rate: 100, Burst: 100}})
 	for range windowSlots {
 		now = now.Add(slotLength)
